--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -1,7 +1,8 @@
 //! Numbered log events of the daemon.
 //!
 //! Numbers are never used again for another meaning. Hundreds group them: 1 process,
-//! 2 store, 3 membership, 4 generations, 5 leases and owners, 6 peer messages, 7 traffic.
+//! 2 store, 3 membership, 4 generations, 5 leases and owners, 6 peer messages, 7 traffic,
+//! 8 forwarding by cookie.
 
 use std::fmt;
 
@@ -105,6 +106,22 @@
     PacketsDropped = 701, Warn, "Packets were dropped; the counts are by reason.";
     QueueFull = 702, Warn, "A queue between threads was full and packets were dropped.";
     TunnelSendFailed = 703, Warn, "Packets could not be sent to a tunnel address.";
+    FlowPlaced = 801, Info, "A new flow was sent to an instance.";
+    FlowRefused = 802, Info, "A new flow was answered with a reset, since no instance can take it; nothing of it has run.";
+    PacketDropped = 803, Info, "A packet was dropped; the reason says why.";
+    PacketSendFailed = 804, Warn, "A packet could not be sent.";
+    InstanceSuspected = 811, Warn, "Openings sent to an instance came to nothing; others are preferred.";
+    InstanceRecovered = 812, Info, "A flow opened at an instance that was suspected.";
+    InstancesChanged = 813, Info, "Instances came, went or changed.";
+    ConfigurationAdopted = 814, Info, "A newer configuration is in force on this node.";
+    ReadinessChanged = 815, Info, "This node has become ready for new flows, or has ceased to be.";
+    StallDetected = 816, Warn, "The process stood still; openings that waited in its socket are dropped.";
+    PeerJoined = 821, Info, "A peer was heard that was not known to be alive.";
+    PeerLost = 822, Info, "A peer was silent for too long, or has left.";
+    SnapshotFetched = 823, Info, "A peer's snapshot was read; what was newer in it is in force.";
+    SnapshotFailed = 824, Warn, "A peer's snapshot could not be read.";
+    SettingsReloaded = 831, Info, "The settings were read again.";
+    SettingsRejected = 832, Warn, "The settings have changed but cannot be used; the old ones stay in force.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -1,6 +1,6 @@
 //! The encoding of what peers send each other.
 //!
-//! Each message is a version byte, a kind byte, a 16-byte authentication tag (keyed BLAKE3, or
+//! Each message is a version byte, a kind byte, an authentication tag (keyed BLAKE3, or
 //! plain BLAKE3 as a checksum where no key is set) and an rkyv archive. Nothing received is
 //! trusted: length, tag and archive are validated, and lists are bounded.
 
@@ -19,7 +19,7 @@
 /// Kind byte of a snapshot.
 const SNAPSHOT_KIND: u8 = 2;
 
-const TAG_LENGTH: usize = 16;
+const TAG_LENGTH: usize = blake3::OUT_LEN;
 const HEADER_LENGTH: usize = 2 + TAG_LENGTH;
 
 /// Longest heartbeat, bytes: it fits one datagram on any usual path.
@@ -90,16 +90,14 @@
         Self(Some(key))
     }
 
-    fn tag(&self, kind: u8, archive: &[u8]) -> [u8; TAG_LENGTH] {
+    fn tag(&self, kind: u8, archive: &[u8]) -> blake3::Hash {
         let mut hasher = match &self.0 {
             Some(key) => blake3::Hasher::new_keyed(key),
             None => blake3::Hasher::new(),
         };
         hasher.update(&[PROTOCOL_VERSION, kind]);
         hasher.update(archive);
-        let mut tag = [0; TAG_LENGTH];
-        hasher.finalize_xof().fill(&mut tag);
-        tag
+        hasher.finalize()
     }
 
     fn seal(&self, kind: u8, archive: &[u8], longest: usize) -> Result<Vec<u8>, EncodeError> {
@@ -109,7 +107,7 @@
         }
         let mut bytes = Vec::with_capacity(length);
         bytes.extend_from_slice(&[PROTOCOL_VERSION, kind]);
-        bytes.extend_from_slice(&self.tag(kind, archive));
+        bytes.extend_from_slice(self.tag(kind, archive).as_bytes());
         bytes.extend_from_slice(archive);
         Ok(bytes)
     }
@@ -126,7 +124,9 @@
             });
         }
         let archive = &bytes[HEADER_LENGTH..];
-        if !constant_time_equal(&self.tag(kind, archive), &bytes[2..HEADER_LENGTH]) {
+        // Hashes compare in constant time.
+        let told = blake3::Hash::from_slice(&bytes[2..HEADER_LENGTH]);
+        if told.ok() != Some(self.tag(kind, archive)) {
             return Err(DecodeError::Tag);
         }
         let mut aligned = AlignedVec::with_capacity(archive.len());
@@ -208,8 +208,3 @@
     rkyv::to_bytes::<rkyv::rancor::Error>(message)
         .map_err(|error| EncodeError::Serializer(error.to_string()))
 }
-
-/// Compares without telling by its duration where the difference lies.
-fn constant_time_equal(one: &[u8], other: &[u8]) -> bool {
-    one.len() == other.len() && one.iter().zip(other).fold(0, |acc, (a, b)| acc | (a ^ b)) == 0
-}
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -148,7 +148,7 @@
             }
             self.send_round(own, &mut effects);
         }
-        self.fetch_if_behind(now, &behind, &mut effects);
+        self.fetch_if_behind(now, own, &behind, &mut effects);
         effects
     }
 
@@ -182,7 +182,7 @@
         if self.deserves_reply(now, from, heartbeat, own) {
             self.send(from, own, &mut effects);
         }
-        self.fetch_if_behind(now, &behind, &mut effects);
+        self.fetch_if_behind(now, own, &behind, &mut effects);
         effects
     }
 
@@ -271,6 +271,7 @@
     fn fetch_if_behind(
         &mut self,
         now: Timestamp,
+        own: Versions,
         behind: &impl Fn(Versions) -> bool,
         effects: &mut Vec<ExchangeEffect>,
     ) {
@@ -279,11 +280,7 @@
             return;
         };
         let since = *self.behind_since.get_or_insert(now);
-        let knows_nothing = behind(Versions {
-            configuration: crate::cookie::revision::Revision(1),
-            directory_changed_at: crate::cookie::revision::Revision(1),
-        });
-        let patience_over = knows_nothing || now.since(since) >= self.settings.patience;
+        let patience_over = own.is_empty() || now.since(since) >= self.settings.patience;
         if patience_over && now >= self.next_fetch {
             self.next_fetch = now.after(self.settings.fetch_interval);
             effects.push(ExchangeEffect::Fetch { from });
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -61,6 +61,15 @@
     pub directory_changed_at: Revision,
 }
 
+impl Versions {
+    /// Whether the configuration or the instances are not known at all.
+    #[must_use]
+    pub fn is_empty(self) -> bool {
+        self.configuration == Revision::default()
+            || self.directory_changed_at == Revision::default()
+    }
+}
+
 /// What changed in a node's state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StateChange {
--- /dev/null
+++ b/crates/bellyoke-node/src/connection/http_client.rs
@@ -0,0 +1,136 @@
+//! A kept-alive HTTP/1.1 connection that notices when the other side is gone.
+
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time without traffic after which the other side is probed, and between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which the connection is given up.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// Longest time that sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Longest answer that is read, bytes.
+const MAXIMUM_BODY_LENGTH: usize = 16 * 1024 * 1024;
+
+/// Why a call came to nothing. It may have been done all the same.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No answer in time.
+    #[error("no answer in time")]
+    TimedOut,
+    /// The connection could not be opened.
+    #[error("connect: {0}")]
+    Connect(#[source] std::io::Error),
+    /// The connection broke, or the other side speaks no HTTP.
+    #[error("http: {0}")]
+    Http(#[from] hyper::Error),
+    /// The answer is longer than is read, or broke off.
+    #[error("body: {0}")]
+    Body(String),
+    /// The path is no path.
+    #[error("request: {0}")]
+    Request(#[from] http::Error),
+}
+
+/// A connection to one address, opened when it is needed.
+#[derive(Debug)]
+pub struct HttpConnection {
+    address: SocketAddrV4,
+    sender: Option<SendRequest<Empty<Bytes>>>,
+}
+
+impl HttpConnection {
+    /// A connection to `address` that is not open yet.
+    #[must_use]
+    pub const fn new(address: SocketAddrV4) -> Self {
+        Self {
+            address,
+            sender: None,
+        }
+    }
+
+    /// Gets `path`. After any error the connection is closed: one that has lost an answer may
+    /// never say anything again.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] if there is no whole answer within `patience`.
+    pub async fn get(
+        &mut self,
+        path: &str,
+        patience: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let sender = self.sender.take();
+        let exchange = exchange(self.address, sender, path);
+        let answered = timeout(patience, exchange).await;
+        let (sender, status, body) = answered.map_err(|_| CallError::TimedOut)??;
+        self.sender = Some(sender);
+        Ok((status, body))
+    }
+}
+
+async fn exchange(
+    address: SocketAddrV4,
+    sender: Option<SendRequest<Empty<Bytes>>>,
+    path: &str,
+) -> Result<(SendRequest<Empty<Bytes>>, StatusCode, Bytes), CallError> {
+    let mut sender = usable_or_new(address, sender).await?;
+    let request = Request::get(path)
+        .header(header::HOST, address.to_string())
+        .body(Empty::new())?;
+    let response = sender.send_request(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAXIMUM_BODY_LENGTH);
+    let collected = body.collect().await;
+    let body = collected.map_err(|error| CallError::Body(error.to_string()))?;
+    Ok((sender, status, body.to_bytes()))
+}
+
+async fn usable_or_new(
+    address: SocketAddrV4,
+    sender: Option<SendRequest<Empty<Bytes>>>,
+) -> Result<SendRequest<Empty<Bytes>>, CallError> {
+    if let Some(mut sender) = sender
+        && sender.ready().await.is_ok()
+    {
+        return Ok(sender);
+    }
+    connect(address).await
+}
+
+async fn connect(address: SocketAddrV4) -> Result<SendRequest<Empty<Bytes>>, CallError> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| CallError::TimedOut)?;
+    let stream = stream.map_err(CallError::Connect)?;
+    watch_for_loss(&stream).map_err(CallError::Connect)?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(connection);
+    Ok(sender)
+}
+
+/// Lets the system notice a silent other side: by probes while nothing is sent, and by missing
+/// acknowledgements (RFC 5482) otherwise.
+fn watch_for_loss(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- /dev/null
+++ b/crates/bellyoke-node/src/connection/store.rs
@@ -0,0 +1,31 @@
+//! The store as the daemon sees it. An adapter implements these traits and decides nothing.
+
+use bellyoke_core::cookie::follower::{Answer, Read};
+use bellyoke_core::cookie::instance::{InstanceEvent, InstanceRecord};
+use bellyoke_core::cookie::route::Configuration;
+use std::net::SocketAddrV4;
+
+/// Reads one kind of object over a connection of its own.
+pub trait StoreReader: 'static {
+    /// An object of a list.
+    type Item: 'static;
+    /// A change of an object.
+    type Event: 'static;
+
+    /// Makes a call. A failure closes the connection; the next call opens another.
+    fn read(&mut self, read: &Read) -> impl Future<Output = Answer<Self::Item, Self::Event>>;
+}
+
+/// Makes readers of a store.
+pub trait Store: 'static {
+    /// Reads instances.
+    type Instances: StoreReader<Item = InstanceRecord, Event = InstanceEvent>;
+    /// Reads the configuration. Each change brings it whole.
+    type Configurations: StoreReader<Item = Configuration, Event = Configuration>;
+
+    /// A reader of instances of the store at `address`.
+    fn instances(&self, address: SocketAddrV4) -> Self::Instances;
+
+    /// A reader of the configuration of the store at `address`.
+    fn configurations(&self, address: SocketAddrV4) -> Self::Configurations;
+}
--- /dev/null
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -0,0 +1,111 @@
+//! Counts of what was done with packets.
+
+use bellyoke_core::cookie::forwarder::{Decision, DropReason, RefusalReason};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+
+/// What was done with a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PacketOutcome {
+    /// A new flow was sent to an instance.
+    Placed,
+    /// Sent on by its cookie.
+    Followed,
+    /// Answered with a reset: no route.
+    RefusedNoRoute,
+    /// Answered with a reset: no instance.
+    RefusedNoInstance,
+    /// Dropped: it waited while the process stood still.
+    DroppedBacklog,
+    /// Dropped: its cookie is not known.
+    DroppedUnknownCookie,
+    /// Dropped: it has no cookie.
+    DroppedNoCookie,
+    /// Dropped: this node knows no configuration yet.
+    DroppedNotReady,
+    /// Dropped: not a client's packet.
+    Malformed,
+    /// The system could not send it.
+    SendFailed,
+}
+
+impl PacketOutcome {
+    const ALL: [Self; 10] = [
+        Self::Placed,
+        Self::Followed,
+        Self::RefusedNoRoute,
+        Self::RefusedNoInstance,
+        Self::DroppedBacklog,
+        Self::DroppedUnknownCookie,
+        Self::DroppedNoCookie,
+        Self::DroppedNotReady,
+        Self::Malformed,
+        Self::SendFailed,
+    ];
+
+    /// Its name in metrics and logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Placed => "placed",
+            Self::Followed => "followed",
+            Self::RefusedNoRoute => "refused_no_route",
+            Self::RefusedNoInstance => "refused_no_instance",
+            Self::DroppedBacklog => "dropped_backlog",
+            Self::DroppedUnknownCookie => "dropped_unknown_cookie",
+            Self::DroppedNoCookie => "dropped_no_cookie",
+            Self::DroppedNotReady => "dropped_not_ready",
+            Self::Malformed => "malformed",
+            Self::SendFailed => "send_failed",
+        }
+    }
+}
+
+impl From<&Decision> for PacketOutcome {
+    fn from(decision: &Decision) -> Self {
+        match decision {
+            Decision::Place { .. } => Self::Placed,
+            Decision::Follow(_) => Self::Followed,
+            Decision::Refuse(RefusalReason::NoRoute) => Self::RefusedNoRoute,
+            Decision::Refuse(RefusalReason::NoInstance) => Self::RefusedNoInstance,
+            Decision::Drop(DropReason::Backlog) => Self::DroppedBacklog,
+            Decision::Drop(DropReason::UnknownCookie) => Self::DroppedUnknownCookie,
+            Decision::Drop(DropReason::NoCookie) => Self::DroppedNoCookie,
+            Decision::Drop(DropReason::NotReady) => Self::DroppedNotReady,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+/// Counters of all outcomes, shared by the traffic threads.
+#[derive(Clone, Debug)]
+pub struct PacketCounters {
+    counters: [Counter; PacketOutcome::ALL.len()],
+}
+
+impl PacketCounters {
+    /// New counters, which `registry` shows.
+    #[must_use]
+    pub fn new(registry: &mut Registry) -> Self {
+        let family = Family::<OutcomeLabel, Counter>::default();
+        registry.register("packets", "Packets by outcome", family.clone());
+        let counters = PacketOutcome::ALL.map(|outcome| {
+            let label = OutcomeLabel {
+                outcome: outcome.name(),
+            };
+            family.get_or_create(&label).clone()
+        });
+        Self { counters }
+    }
+
+    /// Counts a packet.
+    pub fn count(&self, outcome: PacketOutcome) {
+        self.counters[outcome as usize].inc();
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-node/src/packet/mod.rs
@@ -0,0 +1,7 @@
+//! What lives for a packet: the traffic threads.
+
+mod counters;
+mod thread;
+
+pub use counters::{PacketCounters, PacketOutcome};
+pub use thread::start_traffic_thread;
--- /dev/null
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -0,0 +1,291 @@
+//! From the command line to the end of the process.
+
+use super::command_line::{USAGE, flag_list, parse_command_line};
+use super::control::{Control, TICK};
+use super::settings::{Settings, load_settings};
+use super::shared::Shared;
+use crate::connection::follow::follow;
+use crate::connection::http_server;
+use crate::connection::peers::{perform, receive_heartbeats, serve_snapshots};
+use crate::connection::store::Store;
+use crate::packet::{PacketCounters, start_traffic_thread};
+use anyhow::Context;
+use bellyoke_api::event_code::EventCode;
+use bellyoke_api::result_code::ResultCode;
+use bellyoke_core::cookie::follower::FollowerSettings;
+use bellyoke_core::cookie::packet::PacketCodec;
+use bellyoke_process::clock::MonotonicClock;
+use bellyoke_process::log::{log_event, start_non_blocking_log};
+use bellyoke_process::settings::{CommandLine, Override, Problems};
+use prometheus_client::registry::Registry;
+use std::cell::RefCell;
+use std::ffi::OsString;
+use std::net::{SocketAddrV4, UdpSocket};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// How often the settings file is compared with what is in force, since it may change without
+/// a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
+/// Runs the daemon with an adapter's packet format and store. Returns the exit status: the
+/// group of the result code, or 0.
+pub fn run<Codec, S>(
+    arguments: impl IntoIterator<Item = OsString>,
+    codec: Codec,
+    store: S,
+) -> ExitCode
+where
+    Codec: PacketCodec,
+    S: Store,
+{
+    match parse_command_line(arguments) {
+        Ok(CommandLine::Help) => {
+            print!("{USAGE}{}", flag_list());
+            ExitCode::SUCCESS
+        }
+        Ok(CommandLine::Version) => {
+            println!("bellyoke-node {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Ok(CommandLine::Run {
+            config,
+            overrides,
+            check_only,
+        }) => start(
+            SettingsSource { config, overrides },
+            check_only,
+            codec,
+            store,
+        ),
+        Err(problems) => refuse(&problems),
+    }
+}
+
+fn refuse(problems: &Problems) -> ExitCode {
+    eprintln!("error: {problems}");
+    let code = problems.0.first().map(|problem| problem.code);
+    ExitCode::from(code.unwrap_or(ResultCode::SettingsSyntax).exit_status())
+}
+
+fn start<Codec, S>(source: SettingsSource, check_only: bool, codec: Codec, store: S) -> ExitCode
+where
+    Codec: PacketCodec,
+    S: Store,
+{
+    let settings = match source.load() {
+        Ok(settings) => settings,
+        Err(problems) => return refuse(&problems),
+    };
+    if check_only {
+        println!("the settings are usable");
+        return ExitCode::SUCCESS;
+    }
+    let _log = start_non_blocking_log(&settings.log);
+    let served = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .context("start the control thread")
+        .and_then(|runtime| {
+            let local = LocalSet::new();
+            runtime.block_on(local.run_until(serve(source, settings, codec, store)))
+        });
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let code = ResultCode::AddressUnavailable;
+            log_event(EventCode::ThreadFailed, format_args!("{error:#}"));
+            eprintln!("error: {code} {error:#}");
+            ExitCode::from(code.exit_status())
+        }
+    }
+}
+
+/// Where the settings come from, to read them again.
+struct SettingsSource {
+    config: Option<PathBuf>,
+    overrides: Vec<Override>,
+}
+
+impl SettingsSource {
+    fn load(&self) -> Result<Settings, Problems> {
+        load_settings(self.config.as_deref(), &self.overrides)
+    }
+}
+
+/// Serves until a signal ends the process.
+async fn serve<Codec, S>(
+    source: SettingsSource,
+    settings: Settings,
+    codec: Codec,
+    store: S,
+) -> anyhow::Result<()>
+where
+    Codec: PacketCodec,
+    S: Store,
+{
+    let clock = MonotonicClock::start();
+    let mut signals = Signals::take()?;
+    let mut registry = Registry::with_prefix("bellyoke");
+    let packets = PacketCounters::new(&mut registry);
+    let shared = Arc::new(Shared::new(clock, packets));
+    let control = Control::new(&settings, Arc::clone(&shared), registry);
+    let control = Rc::new(RefCell::new(control));
+    let peer_socket = bind_all(&settings, &control).await?;
+    let data_address = settings.node.data_address;
+    let data_socket = UdpSocket::bind(data_address)
+        .with_context(|| format!("bind node.data_address {data_address}"))?;
+    start_traffic_thread("traffic-0".to_owned(), data_socket, codec, shared)
+        .context("start a traffic thread")?;
+    follow_store(&control, &settings, &store);
+    log_event(
+        EventCode::ProcessStarted,
+        format_args!(
+            "node={} zone={} data={data_address} peer={} store={} version={}",
+            settings.node.name,
+            settings.node.zone,
+            settings.node.peer_address,
+            settings.store.address,
+            env!("CARGO_PKG_VERSION"),
+        ),
+    );
+    let mut reloader = Reloader { source, settings };
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut settings_polls = interval(SETTINGS_POLL);
+    settings_polls.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                let effects = control.borrow_mut().tick();
+                perform(&control, &peer_socket, effects);
+                if is_over(&control, clock) {
+                    log_event(EventCode::ProcessStopped, "grace time is over");
+                    return Ok(());
+                }
+            }
+            _ = settings_polls.tick() => reloader.reload(&control, ReloadCause::Poll),
+            _ = signals.hangup.recv() => reloader.reload(&control, ReloadCause::Signal),
+            _ = signals.terminate.recv() => {
+                let again = control.borrow().stop_at().is_some();
+                if again {
+                    log_event(EventCode::StoppedAtOnce, "second signal");
+                    return Ok(());
+                }
+                log_event(EventCode::LeaveRequested, "signal");
+                let effects = control.borrow_mut().leave();
+                perform(&control, &peer_socket, effects);
+            }
+        }
+    }
+}
+
+fn is_over(control: &Rc<RefCell<Control>>, clock: MonotonicClock) -> bool {
+    let stop_at = control.borrow().stop_at();
+    stop_at.is_some_and(|stop_at| clock.now() >= stop_at)
+}
+
+/// Binds all sockets but that of the traffic, starts what serves them, and returns the socket of
+/// the heartbeats.
+async fn bind_all(
+    settings: &Settings,
+    control: &Rc<RefCell<Control>>,
+) -> anyhow::Result<Arc<tokio::net::UdpSocket>> {
+    let node = &settings.node;
+    let ready = listen(node.ready_address, "node.ready_address").await?;
+    spawn_local(http_server::serve(Rc::clone(control), ready));
+    if let Some(address) = node.metrics_address {
+        let metrics = listen(address, "node.metrics_address").await?;
+        spawn_local(http_server::serve(Rc::clone(control), metrics));
+    }
+    let snapshots = listen(node.peer_address, "node.peer_address").await?;
+    spawn_local(serve_snapshots(Rc::clone(control), snapshots));
+    let peer_socket = tokio::net::UdpSocket::bind(node.peer_address)
+        .await
+        .with_context(|| format!("bind node.peer_address {}", node.peer_address))?;
+    let peer_socket = Arc::new(peer_socket);
+    spawn_local(receive_heartbeats(
+        Rc::clone(control),
+        Arc::clone(&peer_socket),
+    ));
+    Ok(peer_socket)
+}
+
+async fn listen(address: SocketAddrV4, key: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("bind {key} {address}"))
+}
+
+fn follow_store<S: Store>(control: &Rc<RefCell<Control>>, settings: &Settings, store: &S) {
+    let address = settings.store.address;
+    let follower = FollowerSettings {
+        watch_wait: settings.timing.watch_wait(),
+        ..FollowerSettings::default()
+    };
+    spawn_local(follow(
+        Rc::clone(control),
+        "configuration",
+        store.configurations(address),
+        follower,
+        Control::configurations,
+    ));
+    spawn_local(follow(
+        Rc::clone(control),
+        "instances",
+        store.instances(address),
+        follower,
+        Control::instances,
+    ));
+}
+
+struct Signals {
+    terminate: tokio::signal::unix::Signal,
+    hangup: tokio::signal::unix::Signal,
+}
+
+impl Signals {
+    fn take() -> anyhow::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).context("take over SIGTERM")?,
+            hangup: signal(SignalKind::hangup()).context("take over SIGHUP")?,
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReloadCause {
+    Signal,
+    Poll,
+}
+
+/// Reads the settings again and takes over what can change.
+struct Reloader {
+    source: SettingsSource,
+    settings: Settings,
+}
+
+impl Reloader {
+    fn reload(&mut self, control: &Rc<RefCell<Control>>, cause: ReloadCause) {
+        match self.source.load() {
+            Ok(settings) if settings == self.settings && cause == ReloadCause::Poll => {}
+            Ok(settings) => {
+                control.borrow_mut().reload(&settings);
+                self.settings = settings;
+                log_event(EventCode::SettingsReloaded, format_args!("cause={cause:?}"));
+            }
+            Err(problems) if cause == ReloadCause::Signal => {
+                log_event(EventCode::SettingsRejected, format_args!("{problems}"));
+            }
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -0,0 +1,166 @@
+//! The settings of the daemon.
+
+use bellyoke_process::log::LogSettings;
+use bellyoke_process::settings::descriptor::DefaultValue::{Absent, Literal, Required};
+use bellyoke_process::settings::descriptor::{KeyDescriptor, Schema, ValueKind, integer, key};
+use bellyoke_process::settings::{self, Override, Problems};
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+/// All keys, in the order of the documentation.
+#[rustfmt::skip]
+pub const KEYS: &[KeyDescriptor] = &[
+    key("node", "name", "", ValueKind::Name, Required,
+        "Name of the machine, for logs."),
+    key("node", "zone", "", ValueKind::Name, Required,
+        "Zone that the machine stands in: machines that fail together."),
+    key("node", "data_address", "", ValueKind::Address, Required,
+        "UDP address that receives client packets; clients are answered at its port."),
+    key("node", "peer_address", "", ValueKind::Address, Required,
+        "UDP and TCP address of the exchange between nodes; the port is the same on all nodes."),
+    key("node", "ready_address", "", ValueKind::Address, Required,
+        "TCP address of `/readyz`, by which routers choose nodes, and of `/metrics`."),
+    key("node", "metrics_address", "", ValueKind::Address, Absent,
+        "TCP address of `/metrics` alone, where that is not to be asked at `ready_address`."),
+    key("cluster", "seeds", "", ValueKind::AddressList { most: 64 }, Literal("[]"),
+        "Some nodes to start from. Only the hosts count: the port is that of `node.peer_address`."),
+    key("store", "address", "", ValueKind::Address, Required,
+        "TCP address of the store that holds configuration and instances."),
+    key("timing", "flow_lifetime_s", "s", integer(1, 86_400), Literal("60"),
+        "Longest life of a flow. Instances whose records have gone are remembered for so long."),
+    key("timing", "leave_grace_ms", "ms", integer(0, 600_000), Literal("3000"),
+        "How long a leaving node goes on forwarding; longer than routers take to notice."),
+    key("timing", "watch_wait_ms", "ms", integer(200, 30_000), Literal("2000"),
+        "How long the store holds a watch open; bounds how long a dead connection goes unnoticed."),
+    key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
+        "Form of the log lines on standard output."),
+    key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
+        "Least level that is logged."),
+];
+
+/// The settings of the daemon.
+pub const SCHEMA: Schema = Schema {
+    keys: KEYS,
+    page: "docs/CONFIGURATION.md",
+};
+
+/// All settings of one process.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The node itself.
+    pub node: NodeSettings,
+    /// Its peers.
+    pub cluster: ClusterSettings,
+    /// The store.
+    pub store: StoreSettings,
+    /// Periods and waits.
+    pub timing: TimingSettings,
+    /// The log.
+    pub log: LogSettings,
+}
+
+/// The node itself.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of the machine.
+    pub name: String,
+    /// Zone that the machine stands in.
+    pub zone: String,
+    /// UDP address of client packets.
+    pub data_address: SocketAddrV4,
+    /// Address of the exchange between nodes.
+    pub peer_address: SocketAddrV4,
+    /// TCP address of readiness.
+    pub ready_address: SocketAddrV4,
+    /// TCP address of metrics alone.
+    pub metrics_address: Option<SocketAddrV4>,
+}
+
+/// The node's peers.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClusterSettings {
+    /// Some nodes to start from.
+    pub seeds: Vec<SocketAddrV4>,
+}
+
+/// The store.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Its TCP address.
+    pub address: SocketAddrV4,
+}
+
+/// Periods and waits.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimingSettings {
+    /// Longest life of a flow, seconds.
+    pub flow_lifetime_s: u64,
+    /// How long a leaving node goes on forwarding, milliseconds.
+    pub leave_grace_ms: u64,
+    /// How long the store holds a watch open, milliseconds.
+    pub watch_wait_ms: u64,
+}
+
+impl TimingSettings {
+    /// How long gone instances are remembered: the longest life of a flow, and some more for
+    /// packets under way.
+    #[must_use]
+    pub const fn tombstone_lifetime(&self) -> Duration {
+        const MARGIN_SECONDS: u64 = 10;
+        Duration::from_secs(self.flow_lifetime_s + MARGIN_SECONDS)
+    }
+
+    /// How long a leaving node goes on forwarding.
+    #[must_use]
+    pub const fn leave_grace(&self) -> Duration {
+        Duration::from_millis(self.leave_grace_ms)
+    }
+
+    /// How long the store holds a watch open.
+    #[must_use]
+    pub const fn watch_wait(&self) -> Duration {
+        Duration::from_millis(self.watch_wait_ms)
+    }
+}
+
+impl Settings {
+    /// Where peers are looked for: the hosts of the seeds, at this node's peer port.
+    #[must_use]
+    pub fn peer_seeds(&self) -> Vec<SocketAddrV4> {
+        let port = self.node.peer_address.port();
+        let seeds = self.cluster.seeds.iter();
+        seeds
+            .map(|seed| SocketAddrV4::new(*seed.ip(), port))
+            .collect()
+    }
+}
+
+/// Reads settings from the text of a file and the flags that override it.
+///
+/// # Errors
+///
+/// All problems at once: unknown keys, wrong types and values out of range.
+pub fn parse_settings(text: &str, overrides: &[Override]) -> Result<Settings, Problems> {
+    let (table, problems) = settings::checked_table(&SCHEMA, text, overrides)?;
+    if !problems.is_empty() {
+        return Err(Problems(problems));
+    }
+    settings::into_typed(&SCHEMA, table)
+}
+
+/// Reads and checks a settings file. Without one, all comes from the flags.
+///
+/// # Errors
+///
+/// All problems at once.
+pub fn load_settings(path: Option<&Path>, overrides: &[Override]) -> Result<Settings, Problems> {
+    let text = path.map_or(Ok(String::new()), settings::read_file)?;
+    parse_settings(&text, overrides)
+}
--- /dev/null
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -0,0 +1,53 @@
+//! What the control thread and the traffic threads share.
+
+use crate::packet::PacketCounters;
+use arc_swap::ArcSwap;
+use bellyoke_core::cookie::stall::TickReport;
+use bellyoke_core::cookie::table::ForwardingTable;
+use bellyoke_core::time::Timestamp;
+use bellyoke_process::clock::MonotonicClock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Written by the control thread, read by all.
+#[derive(Debug)]
+pub struct Shared {
+    /// The process's clock.
+    pub clock: MonotonicClock,
+    /// The table in force.
+    pub table: ArcSwap<ForwardingTable>,
+    /// Counts of packets.
+    pub packets: PacketCounters,
+    last_tick: AtomicU64,
+    stalls: AtomicU64,
+}
+
+impl Shared {
+    /// An empty table, a first tick now.
+    #[must_use]
+    pub fn new(clock: MonotonicClock, packets: PacketCounters) -> Self {
+        Self {
+            table: ArcSwap::default(),
+            packets,
+            last_tick: AtomicU64::new(clock.now().as_micros()),
+            stalls: AtomicU64::new(0),
+            clock,
+        }
+    }
+
+    /// The control thread is alive at `now`; `stalled` tells whether it stood still before.
+    pub fn tick(&self, now: Timestamp, stalled: bool) {
+        if stalled {
+            self.stalls.fetch_add(1, Ordering::Release);
+        }
+        self.last_tick.store(now.as_micros(), Ordering::Release);
+    }
+
+    /// The ticks so far.
+    #[must_use]
+    pub fn ticks(&self) -> TickReport {
+        TickReport {
+            last: Timestamp::from_micros(self.last_tick.load(Ordering::Acquire)),
+            stalls: self.stalls.load(Ordering::Acquire),
+        }
+    }
+}
