Test forwarding by cookie, and let no replayed event undo a newer one

Tests of each invariant of the module in virtual time and with random input.

The answer replays 'gone' of an instance that has come back since; the put that follows was skipped as old, so a present instance became a tombstone. Cause: events of 'gone' carry no revision to compare. Now only the last event of each instance in an answer counts.

--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -7,7 +7,7 @@
 use crate::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
 use crate::cookie::revision::Revision;
 use crate::time::Timestamp;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Most tombstones held; the oldest go first. 64 times the instances of the users' largest
@@ -81,8 +81,7 @@
             return false;
         }
         let mut changed = self.as_of.is_none();
-        let listed: std::collections::BTreeSet<InstanceId> =
-            records.iter().map(|record| record.id).collect();
+        let listed: BTreeSet<InstanceId> = records.iter().map(|record| record.id).collect();
         for known in self.known.values_mut() {
             if !listed.contains(&known.record.id) && known.gone_at.is_none() {
                 known.gone_at = Some(now);
@@ -104,7 +103,7 @@
             return false;
         }
         let mut changed = false;
-        for event in events {
+        for event in last_events(events) {
             changed |= match event {
                 InstanceEvent::Put(record) if record.revision <= as_of => false,
                 InstanceEvent::Put(record) => self.put(now, record),
@@ -231,6 +230,19 @@
     }
 }
 
+/// The last event of each instance. The earlier ones may be older than what is known: an
+/// instance that went and came back before then must not go again.
+fn last_events(events: Vec<InstanceEvent>) -> Vec<InstanceEvent> {
+    let mut seen = BTreeSet::new();
+    let mut last: Vec<InstanceEvent> = events
+        .into_iter()
+        .rev()
+        .filter(|event| seen.insert(event.id()))
+        .collect();
+    last.reverse();
+    last
+}
+
 fn saturating_milliseconds(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/bellyoke-core/src/cookie/instance.rs
+++ b/crates/bellyoke-core/src/cookie/instance.rs
@@ -84,3 +84,14 @@
     /// The record is gone. That is no proof that the instance has ended.
     Gone(InstanceId),
 }
+
+impl InstanceEvent {
+    /// The instance that changed.
+    #[must_use]
+    pub const fn id(&self) -> InstanceId {
+        match self {
+            Self::Put(record) => record.id,
+            Self::Gone(id) => *id,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/directory.rs
@@ -0,0 +1,218 @@
+//! The directory orders what it hears by revision and remembers what went.
+
+use crate::support::{TOMBSTONE_LIFETIME, at, draining, record};
+use bellyoke_core::cookie::directory::{Directory, Tombstone};
+use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId, InstanceState};
+use bellyoke_core::cookie::revision::Revision;
+use proptest::prelude::*;
+
+fn directory() -> Directory {
+    Directory::new(TOMBSTONE_LIFETIME)
+}
+
+fn present(directory: &Directory) -> Vec<u64> {
+    let present = directory
+        .instances()
+        .filter(|known| known.gone_at.is_none());
+    present.map(|known| known.record.id.0).collect()
+}
+
+fn gone(directory: &Directory) -> Vec<u64> {
+    let gone = directory
+        .instances()
+        .filter(|known| known.gone_at.is_some());
+    gone.map(|known| known.record.id.0).collect()
+}
+
+#[test]
+fn an_instance_that_went_stays_known_for_the_life_of_its_flows() {
+    let mut directory = directory();
+    directory.replace(at(0), Revision(5), vec![record(1, 4), record(2, 5)]);
+    directory.apply(
+        at(1_000),
+        Revision(6),
+        vec![InstanceEvent::Gone(InstanceId(1))],
+    );
+    assert_eq!(present(&directory), [2]);
+    assert_eq!(gone(&directory), [1]);
+    assert!(!directory.expire(at(70_999)));
+    assert!(directory.expire(at(71_000)));
+    assert_eq!(gone(&directory), [] as [u64; 0]);
+}
+
+#[test]
+fn a_list_without_an_instance_makes_it_a_tombstone() {
+    let mut directory = directory();
+    directory.replace(at(0), Revision(5), vec![record(1, 4), record(2, 5)]);
+    assert!(directory.replace(at(10), Revision(9), vec![record(2, 5)]));
+    assert_eq!(gone(&directory), [1]);
+}
+
+#[test]
+fn an_instance_whose_record_comes_back_is_present_again() {
+    let mut directory = directory();
+    directory.replace(at(0), Revision(5), vec![record(1, 4)]);
+    directory.apply(
+        at(10),
+        Revision(6),
+        vec![InstanceEvent::Gone(InstanceId(1))],
+    );
+    assert!(directory.apply(at(20), Revision(7), vec![InstanceEvent::Put(record(1, 7))]));
+    assert_eq!(present(&directory), [1]);
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let mut directory = directory();
+    directory.replace(at(0), Revision(9), vec![draining(1, 8)]);
+    assert!(!directory.replace(at(10), Revision(5), vec![record(1, 4), record(2, 5)]));
+    assert_eq!(present(&directory), [1]);
+    let state = directory.instances().next().unwrap().record.state;
+    assert_eq!(state, InstanceState::Draining);
+}
+
+#[test]
+fn changes_that_a_newer_list_already_held_are_left_out() {
+    let mut directory = directory();
+    directory.replace(at(0), Revision(9), vec![record(2, 5)]);
+    // The watch goes on from an older revision: instance 1 came at 6 and went at 8.
+    let events = vec![
+        InstanceEvent::Put(record(1, 6)),
+        InstanceEvent::Put(record(3, 10)),
+    ];
+    directory.apply(at(10), Revision(10), events);
+    assert_eq!(present(&directory), [2, 3]);
+}
+
+#[test]
+fn changes_before_the_first_list_are_left_out() {
+    let mut directory = directory();
+    assert!(!directory.apply(at(0), Revision(3), vec![InstanceEvent::Put(record(1, 3))]));
+    assert_eq!(directory.as_of(), None);
+}
+
+#[test]
+fn a_tombstone_of_a_peer_never_hides_a_present_instance() {
+    let mut directory = directory();
+    directory.replace(at(0), Revision(9), vec![record(1, 8)]);
+    let tombstones = vec![
+        Tombstone {
+            record: record(1, 4),
+            age_milliseconds: 10,
+        },
+        Tombstone {
+            record: record(2, 4),
+            age_milliseconds: 10,
+        },
+        Tombstone {
+            record: record(3, 4),
+            age_milliseconds: 70_000,
+        },
+    ];
+    assert!(directory.learn_tombstones(at(100_000), tombstones));
+    assert_eq!(present(&directory), [1]);
+    assert_eq!(gone(&directory), [2], "3 is too old to have a flow");
+}
+
+#[test]
+fn a_tombstone_keeps_its_age_from_node_to_node() {
+    let mut directory = directory();
+    let tombstone = Tombstone {
+        record: record(2, 4),
+        age_milliseconds: 60_000,
+    };
+    directory.learn_tombstones(at(100_000), vec![tombstone]);
+    assert!(!directory.expire(at(109_999)));
+    assert!(directory.expire(at(110_000)));
+}
+
+#[test]
+fn cold_time_is_told_from_now_on() {
+    let mut directory = directory();
+    let mut cold = record(1, 4);
+    cold.cold_remaining_milliseconds = 2_000;
+    directory.replace(at(0), Revision(5), vec![cold]);
+    let told = |now| directory.records(at(now))[0].cold_remaining_milliseconds;
+    assert_eq!(told(500), 1_500);
+    assert_eq!(told(5_000), 0);
+}
+
+/// One step in the history of a store.
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u64),
+    Drain(u64),
+    Remove(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (1..6_u64).prop_map(Step::Put),
+        (1..6_u64).prop_map(Step::Drain),
+        (1..6_u64).prop_map(Step::Remove),
+    ]
+}
+
+/// The state of a store after each of its revisions, and the event that led there.
+fn history(
+    steps: &[Step],
+) -> Vec<(
+    Revision,
+    InstanceEvent,
+    Vec<bellyoke_core::cookie::instance::InstanceRecord>,
+)> {
+    let mut state = std::collections::BTreeMap::new();
+    let mut history = Vec::new();
+    for (index, step) in steps.iter().enumerate() {
+        let revision = index as u64 + 1;
+        let event = match step {
+            Step::Put(id) => InstanceEvent::Put(record(*id, revision)),
+            Step::Drain(id) => InstanceEvent::Put(draining(*id, revision)),
+            Step::Remove(id) => InstanceEvent::Gone(InstanceId(*id)),
+        };
+        match &event {
+            InstanceEvent::Put(record) => {
+                state.insert(record.id, record.clone());
+            }
+            InstanceEvent::Gone(id) => {
+                state.remove(id);
+            }
+        }
+        history.push((Revision(revision), event, state.values().cloned().collect()));
+    }
+    history
+}
+
+proptest! {
+    /// Whole lists and changes, however old and in whatever order, never take a node back, and
+    /// the newest list always wins.
+    #[test]
+    fn no_order_of_news_goes_back(
+        steps in prop::collection::vec(step(), 1..24),
+        order in prop::collection::vec((any::<prop::sample::Index>(), any::<prop::sample::Index>(), any::<bool>()), 1..24),
+    ) {
+        let history = history(&steps);
+        let mut directory = directory();
+        let mut newest = Revision(0);
+        for (first, second, whole) in order {
+            let to = first.index(history.len()).max(second.index(history.len()));
+            let from = first.index(history.len()).min(second.index(history.len()));
+            let (at_revision, _, state) = &history[to];
+            if whole {
+                directory.replace(at(0), *at_revision, state.clone());
+                newest = newest.max(*at_revision);
+            } else if directory.as_of().is_some_and(|as_of| as_of >= Revision(from as u64)) {
+                // A watch from `from` has events only for what came after.
+                let events = history[from..=to].iter().map(|(_, event, _)| event.clone());
+                directory.apply(at(0), *at_revision, events.collect());
+                newest = newest.max(*at_revision);
+            }
+            prop_assert!(directory.as_of().unwrap_or_default() >= newest);
+            if newest > Revision(0) {
+                let expected: Vec<u64> = history[usize::try_from(newest.0).unwrap() - 1].2
+                    .iter().map(|record| record.id.0).collect();
+                prop_assert_eq!(present(&directory), expected);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/forwarder.rs
@@ -0,0 +1,203 @@
+//! The decision for each packet.
+
+use crate::support::{at, configuration, draining, later, node, of_service, opening, record};
+use bellyoke_core::cookie::forwarder::{Decision, DropReason, Forwarder, RefusalReason};
+use bellyoke_core::cookie::health::HealthSettings;
+use bellyoke_core::cookie::instance::{Cookie, InstanceId, InstanceRecord};
+use bellyoke_core::cookie::packet::{FlowPacket, PacketRole};
+use bellyoke_core::cookie::placement::Suitability;
+use bellyoke_core::cookie::replica::Replica;
+use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::table::ForwardingTable;
+use proptest::prelude::*;
+
+fn forwarder() -> Forwarder {
+    Forwarder::new(HealthSettings::default())
+}
+
+fn decide(table: &ForwardingTable, packet: &FlowPacket) -> Decision {
+    forwarder().decide(at(10_000), table, packet, false)
+}
+
+fn placed(decision: Decision) -> (InstanceId, Cookie, Suitability) {
+    match decision {
+        Decision::Place {
+            destination,
+            suitability,
+        } => (destination.instance, destination.cookie, suitability),
+        other => panic!("not placed: {other:?}"),
+    }
+}
+
+fn followed(decision: Decision) -> InstanceId {
+    match decision {
+        Decision::Follow(destination) => destination.instance,
+        other => panic!("not followed: {other:?}"),
+    }
+}
+
+#[test]
+fn a_flow_goes_where_its_cookie_says() {
+    let table = node((1..=5).map(|id| record(id, 1)).collect()).table();
+    let (instance, cookie, suitability) = placed(decide(&table, &opening(1, 0)));
+    assert_eq!(suitability, Suitability::Full);
+    assert_eq!(followed(decide(&table, &later(1, cookie))), instance);
+}
+
+#[test]
+fn an_open_flow_follows_its_cookie_whatever_the_route_says_now() {
+    let mut replica = node(vec![record(1, 1), of_service("listings", record(2, 1))]);
+    replica.adopt_configuration(configuration(2, &[("listings", 1)]));
+    let table = replica.table();
+    assert_eq!(placed(decide(&table, &opening(1, 0))).0, InstanceId(2));
+    let cookie = Cookie::of(InstanceId(1));
+    assert_eq!(followed(decide(&table, &later(1, cookie))), InstanceId(1));
+}
+
+#[test]
+fn a_draining_instance_keeps_its_flows_and_gets_no_new_one() {
+    let table = node(vec![draining(1, 1), record(2, 1)]).table();
+    for number in 0..50 {
+        assert_eq!(placed(decide(&table, &opening(number, 0))).0, InstanceId(2));
+    }
+    let cookie = Cookie::of(InstanceId(1));
+    assert_eq!(followed(decide(&table, &later(1, cookie))), InstanceId(1));
+}
+
+#[test]
+fn an_instance_whose_record_went_keeps_its_flows() {
+    let mut replica = node(vec![record(1, 1), record(2, 1)]);
+    replica.replace_instances(at(100), Revision(20), vec![record(2, 1)]);
+    let table = replica.table();
+    let cookie = Cookie::of(InstanceId(1));
+    assert_eq!(followed(decide(&table, &later(1, cookie))), InstanceId(1));
+}
+
+#[test]
+fn an_instance_whose_record_just_went_is_the_last_resort_for_a_while() {
+    let mut replica = node(vec![record(1, 1)]);
+    replica.replace_instances(at(9_000), Revision(20), Vec::new());
+    let table = replica.table();
+    let mut forwarder = forwarder();
+    let decision = forwarder.decide(at(10_499), &table, &opening(1, 0), false);
+    assert_eq!(placed(decision).2, Suitability::RecentlyGone);
+    let decision = forwarder.decide(at(10_500), &table, &opening(2, 0), false);
+    assert_eq!(decision, Decision::Refuse(RefusalReason::NoInstance));
+}
+
+#[test]
+fn a_cold_instance_is_left_alone_while_others_are_warm() {
+    let cold = InstanceRecord {
+        cold_remaining_milliseconds: 20_000,
+        ..record(1, 1)
+    };
+    let table = node(vec![cold, record(2, 1)]).table();
+    for number in 0..50 {
+        assert_eq!(placed(decide(&table, &opening(number, 0))).0, InstanceId(2));
+    }
+    let later_on = forwarder().decide(at(20_000), &table, &opening(3, 0), false);
+    assert_eq!(placed(later_on).2, Suitability::Full);
+}
+
+#[test]
+fn without_a_route_the_answer_is_a_reset_at_once() {
+    let table = node(vec![record(1, 1)]).table();
+    let mut packet = opening(1, 0);
+    packet.flow.service.set_port(8_080);
+    assert_eq!(
+        decide(&table, &packet),
+        Decision::Refuse(RefusalReason::NoRoute)
+    );
+}
+
+#[test]
+fn without_an_instance_the_answer_is_a_reset_at_once() {
+    let table = node(vec![draining(1, 1)]).table();
+    assert_eq!(
+        decide(&table, &opening(1, 0)),
+        Decision::Refuse(RefusalReason::NoInstance)
+    );
+}
+
+#[test]
+fn a_node_without_configuration_refuses_nothing() {
+    let table = Replica::new(crate::support::TOMBSTONE_LIFETIME).table();
+    assert_eq!(
+        decide(&table, &opening(1, 0)),
+        Decision::Drop(DropReason::NotReady)
+    );
+}
+
+#[test]
+fn an_unknown_cookie_is_never_answered() {
+    let table = node(vec![record(1, 1)]).table();
+    let cookie = Cookie::from_bits(99).unwrap();
+    assert_eq!(
+        decide(&table, &later(1, cookie)),
+        Decision::Drop(DropReason::UnknownCookie)
+    );
+}
+
+#[test]
+fn a_packet_without_cookie_that_opens_nothing_is_dropped() {
+    let table = node(vec![record(1, 1)]).table();
+    let packet = FlowPacket {
+        role: PacketRole::Later,
+        ..opening(1, 0)
+    };
+    assert_eq!(
+        decide(&table, &packet),
+        Decision::Drop(DropReason::NoCookie)
+    );
+}
+
+#[test]
+fn an_opening_that_waited_through_a_stall_is_dropped_and_open_flows_go_on() {
+    let table = node(vec![record(1, 1)]).table();
+    let mut forwarder = forwarder();
+    assert_eq!(
+        forwarder.decide(at(10_000), &table, &opening(1, 0), true),
+        Decision::Drop(DropReason::Backlog)
+    );
+    let cookie = Cookie::of(InstanceId(1));
+    let decision = forwarder.decide(at(10_000), &table, &later(1, cookie), true);
+    assert_eq!(followed(decision), InstanceId(1));
+}
+
+#[test]
+fn new_flows_avoid_an_instance_that_does_not_answer_until_it_does() {
+    let table = node(vec![record(1, 1), record(2, 1)]).table();
+    let mut forwarder = forwarder();
+    let mut to_first = 0;
+    for number in 0..200_u32 {
+        let now = at(10_000 + u64::from(number) * 10);
+        let (instance, cookie, _) =
+            placed(forwarder.decide(now, &table, &opening(number, 0), false));
+        if instance == InstanceId(2) {
+            forwarder.decide(now, &table, &later(number, cookie), false);
+        } else {
+            to_first += 1;
+        }
+    }
+    // About half of those of the first 150 ms, and one for each trial.
+    assert!(
+        (3..20).contains(&to_first),
+        "{to_first} openings went to a dead instance"
+    );
+}
+
+proptest! {
+    /// Whatever changes meanwhile, a flow's packets go to its instance or nowhere.
+    #[test]
+    fn no_change_moves_an_open_flow(
+        before in prop::collection::btree_set(1..40_u64, 1..10),
+        after in prop::collection::btree_set(1..40_u64, 0..10),
+        number in 0..1_000_u32,
+    ) {
+        let mut replica = node(before.iter().map(|id| record(*id, 1)).collect());
+        let (instance, cookie, _) = placed(decide(&replica.table(), &opening(number, 0)));
+        replica.replace_instances(at(5_000), Revision(20), after.iter().map(|id| record(*id, 20)).collect());
+        replica.adopt_configuration(configuration(30, &[]));
+        prop_assert_eq!(followed(decide(&replica.table(), &later(number, cookie))), instance);
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -0,0 +1,12 @@
+//! Forwarding by connection cookie: each invariant of [`bellyoke_core::cookie`].
+
+mod directory;
+mod exchange;
+mod follower;
+mod forwarder;
+mod health;
+mod message;
+mod placement;
+mod replica;
+mod stall;
+mod support;
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -0,0 +1,92 @@
+//! Nothing that a peer sends is trusted.
+
+use crate::support::{at, node, record};
+use bellyoke_core::cookie::exchange::{
+    DecodeError, Heartbeat, MAXIMUM_HEARTBEAT_LENGTH, PeerKey, decode_snapshot, encode_snapshot,
+};
+use bellyoke_core::cookie::replica::Versions;
+use bellyoke_core::cookie::revision::Revision;
+use proptest::prelude::*;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn heartbeat(peers: u8) -> Heartbeat {
+    let address = |last| SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7_000);
+    Heartbeat {
+        versions: Versions {
+            configuration: Revision(u64::MAX),
+            directory_changed_at: Revision(7),
+        },
+        leaving: false,
+        peers: (0..peers).map(address).collect(),
+    }
+}
+
+#[test]
+fn a_heartbeat_comes_back_as_it_was() {
+    for key in [PeerKey::default(), PeerKey::new([7; 32])] {
+        let bytes = heartbeat(6).encode(&key).unwrap();
+        assert!(bytes.len() <= MAXIMUM_HEARTBEAT_LENGTH);
+        assert_eq!(Heartbeat::decode(&bytes, &key), Ok(heartbeat(6)));
+    }
+}
+
+#[test]
+fn a_snapshot_comes_back_as_it_was() {
+    let mut replica = node(vec![record(1, 1), record(2, 2)]);
+    replica.replace_instances(at(5), Revision(20), vec![record(2, 2)]);
+    let snapshot = replica.snapshot(at(100));
+    let key = PeerKey::new([7; 32]);
+    let bytes = encode_snapshot(&snapshot, &key).unwrap();
+    assert_eq!(decode_snapshot(&bytes, &key), Ok(snapshot));
+}
+
+#[test]
+fn another_key_is_refused() {
+    let bytes = heartbeat(1).encode(&PeerKey::new([7; 32])).unwrap();
+    assert_eq!(
+        Heartbeat::decode(&bytes, &PeerKey::new([8; 32])),
+        Err(DecodeError::Tag)
+    );
+    assert_eq!(
+        Heartbeat::decode(&bytes, &PeerKey::default()),
+        Err(DecodeError::Tag)
+    );
+}
+
+#[test]
+fn a_snapshot_is_no_heartbeat() {
+    let key = PeerKey::default();
+    let bytes = encode_snapshot(&node(Vec::new()).snapshot(at(0)), &key).unwrap();
+    assert!(matches!(
+        Heartbeat::decode(&bytes, &key),
+        Err(DecodeError::Kind { .. })
+    ));
+}
+
+#[test]
+fn a_list_of_too_many_peers_is_refused() {
+    let key = PeerKey::default();
+    let bytes = heartbeat(7).encode(&key).unwrap();
+    assert!(matches!(
+        Heartbeat::decode(&bytes, &key),
+        Err(DecodeError::Length { .. })
+    ));
+}
+
+proptest! {
+    #[test]
+    fn random_bytes_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let key = PeerKey::default();
+        prop_assert!(Heartbeat::decode(&bytes, &key).is_err());
+        prop_assert!(decode_snapshot(&bytes, &key).is_err());
+    }
+
+    #[test]
+    fn damaged_bytes_are_refused(index in any::<prop::sample::Index>(), flip in 1..=255_u8) {
+        let key = PeerKey::new([7; 32]);
+        let mut bytes = heartbeat(3).encode(&key).unwrap();
+        let index = index.index(bytes.len());
+        bytes[index] ^= flip;
+        prop_assert!(Heartbeat::decode(&bytes, &key).is_err());
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/placement.rs
@@ -0,0 +1,155 @@
+//! New flows are spread by weight, alike on all nodes, and copies reach other instances.
+
+use crate::support::{at, configuration, flow, node, of_service, record};
+use bellyoke_core::cookie::instance::InstanceId;
+use bellyoke_core::cookie::placement::{Suitability, choose_instance, choose_part};
+use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::table::{Candidate, ForwardingTable};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const FLOWS: u32 = 20_000;
+
+fn candidates(table: &ForwardingTable) -> &[Candidate] {
+    let parts = table.route(crate::support::SERVICE).unwrap();
+    table.candidates(&parts[0])
+}
+
+fn choose(table: &ForwardingTable, number: u32, attempt: u32) -> Option<InstanceId> {
+    let all = |_: &Candidate| Some(Suitability::Full);
+    choose_instance(candidates(table), flow(number).hash(), attempt, all).map(|chosen| chosen.id)
+}
+
+#[test]
+fn flows_are_spread_evenly() {
+    let table = node((1..=10).map(|id| record(id, 1)).collect()).table();
+    let mut counts: BTreeMap<InstanceId, u32> = BTreeMap::new();
+    for number in 0..FLOWS {
+        *counts
+            .entry(choose(&table, number, 0).unwrap())
+            .or_default() += 1;
+    }
+    let mean = FLOWS / 10;
+    assert_eq!(counts.len(), 10);
+    assert!(
+        counts
+            .values()
+            .all(|count| count.abs_diff(mean) < mean / 10),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn services_get_their_weights() {
+    let mut replica = node(vec![record(1, 1), of_service("listings", record(2, 1))]);
+    replica.adopt_configuration(configuration(
+        2,
+        &[("till", 90), ("listings", 10), ("none", 0)],
+    ));
+    let table = replica.table();
+    let parts = table.route(crate::support::SERVICE).unwrap();
+    let listings = (0..FLOWS)
+        .filter(|number| choose_part(parts, flow(*number).hash()).unwrap().weight == 10)
+        .count();
+    let share = listings as f64 / f64::from(FLOWS);
+    assert!((0.09..0.11).contains(&share), "{share}");
+}
+
+#[test]
+fn a_route_whose_weights_are_all_zero_has_no_service() {
+    let mut replica = node(vec![record(1, 1)]);
+    replica.adopt_configuration(configuration(2, &[("till", 0)]));
+    let table = replica.table();
+    let parts = table.route(crate::support::SERVICE).unwrap();
+    assert_eq!(choose_part(parts, 7), None);
+}
+
+#[test]
+fn copies_of_an_opening_reach_other_instances() {
+    let table = node((1..=3).map(|id| record(id, 1)).collect()).table();
+    for number in 0..100 {
+        let chosen: std::collections::BTreeSet<_> = (0..3)
+            .map(|attempt| choose(&table, number, attempt).unwrap())
+            .collect();
+        assert_eq!(chosen.len(), 3);
+    }
+}
+
+#[test]
+fn a_copy_goes_to_the_last_rank_where_instances_are_few() {
+    let table = node(vec![record(1, 1)]).table();
+    for attempt in [0, 1, 2, 3, u32::MAX] {
+        assert_eq!(choose(&table, 5, attempt), Some(InstanceId(1)));
+    }
+}
+
+#[test]
+fn the_more_suitable_go_first() {
+    let table = node((1..=4).map(|id| record(id, 1)).collect()).table();
+    let suitability = |candidate: &Candidate| match candidate.id.0 {
+        1 => Some(Suitability::RecentlyGone),
+        2 => Some(Suitability::Suspected),
+        3 => Some(Suitability::Cold),
+        _ => None,
+    };
+    for number in 0..200 {
+        let hash = flow(number).hash();
+        let chosen = [0, 1, 2].map(|attempt| {
+            choose_instance(candidates(&table), hash, attempt, suitability)
+                .unwrap()
+                .id
+                .0
+        });
+        assert_eq!(chosen, [3, 2, 1]);
+    }
+}
+
+#[test]
+fn of_two_instances_with_one_cookie_the_first_known_takes_all_flows() {
+    // Both fold to the cookie 5.
+    let first = record(5, 1);
+    let second = record((1 << 32) | 4, 2);
+    let mut replica = node(vec![first]);
+    replica.replace_instances(at(100), Revision(20), vec![record(5, 1), second.clone()]);
+    let table = replica.table();
+    for number in 0..100 {
+        assert_eq!(choose(&table, number, 0), Some(InstanceId(5)));
+    }
+    // Its record goes, but its flows may live on: the cookie stays its own.
+    replica.replace_instances(at(200), Revision(30), vec![second]);
+    let cookie = bellyoke_core::cookie::instance::Cookie::of(InstanceId(5));
+    let table = replica.table();
+    assert_eq!(table.destination(cookie).unwrap().instance, InstanceId(5));
+    replica.expire(at(200_000));
+    let table = replica.table();
+    assert_eq!(
+        table.destination(cookie).unwrap().instance,
+        InstanceId((1 << 32) | 4)
+    );
+    assert_eq!(choose(&table, 1, 0), Some(InstanceId((1 << 32) | 4)));
+}
+
+proptest! {
+    /// Nodes that know the same instances choose alike, in whatever order they heard of them.
+    #[test]
+    fn nodes_agree(ids in prop::collection::btree_set(1..1_000_000_u64, 1..20), number in 0..FLOWS, attempt in 0..4_u32) {
+        let ascending = node(ids.iter().map(|id| record(*id, 1)).collect()).table();
+        let descending = node(ids.iter().rev().map(|id| record(*id, 1)).collect()).table();
+        prop_assert_eq!(choose(&ascending, number, attempt), choose(&descending, number, attempt));
+    }
+
+    /// An instance that comes takes flows for itself only; one that goes gives up only its own.
+    #[test]
+    fn a_change_moves_only_the_flows_it_has_to(ids in prop::collection::btree_set(1..1_000_000_u64, 2..20)) {
+        let all: Vec<u64> = ids.into_iter().collect();
+        let changed = all[0];
+        let with = node(all.iter().map(|id| record(*id, 1)).collect()).table();
+        let without = node(all[1..].iter().map(|id| record(*id, 1)).collect()).table();
+        for number in 0..200 {
+            let before = choose(&with, number, 0).unwrap();
+            if before != InstanceId(changed) {
+                prop_assert_eq!(choose(&without, number, 0), Some(before));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/replica.rs
@@ -0,0 +1,89 @@
+//! Store and peers may tell in any order.
+
+use crate::support::{TOMBSTONE_LIFETIME, at, configuration, draining, node, record};
+use bellyoke_core::cookie::replica::{Replica, Snapshot};
+use bellyoke_core::cookie::revision::Revision;
+use proptest::prelude::*;
+
+fn empty() -> Replica {
+    Replica::new(TOMBSTONE_LIFETIME)
+}
+
+#[test]
+fn a_node_that_starts_without_the_store_learns_all_from_a_peer() {
+    let mut peer = node(vec![record(1, 1), record(2, 2)]);
+    peer.replace_instances(at(5), Revision(20), vec![record(2, 2)]);
+    let mut newborn = empty();
+    let change = newborn.merge(at(900_000), peer.snapshot(at(1_000)));
+    assert!(change.configuration && change.directory);
+    assert_eq!(newborn.versions(), peer.versions());
+    assert_eq!(newborn.snapshot(at(900_000)).tombstones.len(), 1);
+}
+
+#[test]
+fn a_peer_that_knows_less_takes_nothing_back() {
+    let mut replica = node(vec![draining(1, 9)]);
+    replica.adopt_configuration(configuration(9, &[("listings", 1)]));
+    let mut older = empty();
+    older.adopt_configuration(configuration(3, &[("till", 1)]));
+    older.replace_instances(at(0), Revision(4), vec![record(1, 2), record(2, 4)]);
+    let before = replica.snapshot(at(0));
+    let change = replica.merge(at(0), older.snapshot(at(0)));
+    assert!(!change.any());
+    assert_eq!(replica.snapshot(at(0)), before);
+}
+
+#[test]
+fn a_node_knows_whether_it_is_behind() {
+    let replica = node(vec![record(1, 1)]);
+    let mut peer = node(vec![record(1, 1)]);
+    assert!(!replica.is_behind(peer.versions()));
+    peer.replace_instances(at(0), Revision(11), vec![]);
+    assert!(replica.is_behind(peer.versions()));
+    assert!(!peer.is_behind(replica.versions()));
+    let mut newer = empty();
+    newer.adopt_configuration(configuration(2, &[]));
+    assert!(replica.is_behind(newer.versions()));
+    assert!(!replica.is_behind(empty().versions()));
+}
+
+#[test]
+fn a_revision_without_changes_puts_nobody_behind() {
+    let replica = node(vec![record(1, 1)]);
+    let mut peer = node(vec![record(1, 1)]);
+    peer.apply_instances(at(0), Revision(15), Vec::new());
+    assert!(!replica.is_behind(peer.versions()));
+}
+
+fn snapshots() -> impl Strategy<Value = Vec<Snapshot>> {
+    // Snapshots of one store's history: instance `n` comes at revision `n`, and goes at `n + 3`.
+    prop::collection::vec((1..20_u64, 1..20_u64), 1..6).prop_map(|revisions| {
+        let snapshot = |(configuration_at, directory_at): (u64, u64)| {
+            let mut replica = empty();
+            replica.adopt_configuration(configuration(configuration_at, &[("till", 1)]));
+            let live = directory_at.saturating_sub(2).max(1)..=directory_at;
+            let records = live.map(|id| record(id, id)).collect();
+            replica.replace_instances(at(0), Revision(directory_at), records);
+            replica.snapshot(at(0))
+        };
+        revisions.into_iter().map(snapshot).collect()
+    })
+}
+
+proptest! {
+    /// Nodes that have heard the same hold the same, in whatever order they heard it.
+    #[test]
+    fn the_order_of_merging_does_not_matter(snapshots in snapshots()) {
+        let mut forward = empty();
+        let mut backward = empty();
+        for snapshot in &snapshots {
+            forward.merge(at(0), snapshot.clone());
+        }
+        for snapshot in snapshots.iter().rev() {
+            backward.merge(at(0), snapshot.clone());
+        }
+        let (forward, backward) = (forward.snapshot(at(0)), backward.snapshot(at(0)));
+        prop_assert_eq!(forward.configuration, backward.configuration);
+        prop_assert_eq!(forward.directory, backward.directory);
+    }
+}
