--- a/crates/bellyoke-lab/src/cookie/rules.rs
+++ b/crates/bellyoke-lab/src/cookie/rules.rs
@@ -123,6 +123,11 @@
         &self.violations
     }
 
+    /// Something was broken that only the host sees.
+    pub fn note(&mut self, violation: Violation) {
+        self.violations.push(violation);
+    }
+
     /// The operator's configuration was accepted.
     pub fn configured(&mut self, now: Timestamp, routes: &[(SocketAddrV4, usize)]) {
         self.routed.extend(routes);
