--- /dev/null
+++ b/crates/bellyoke-core/benches/cookie.rs
@@ -0,0 +1,187 @@
+//! What a packet costs when it is forwarded by its cookie.
+//!
+//! `cargo bench -p bellyoke-core --bench cookie` prints nanoseconds a packet, medians over runs of a
+//! thousand packets, for openings and later packets, beside a plain way: a hash map of instances
+//! behind a lock, and openings placed by sorting all candidates.
+
+use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
+use bellyoke_core::cookie::health::HealthSettings;
+use bellyoke_core::cookie::instance::{Cookie, InstanceId, InstanceRecord, InstanceState};
+use bellyoke_core::cookie::packet::{FlowPacket, FlowTuple, PacketRole};
+use bellyoke_core::cookie::replica::Replica;
+use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::route::{Configuration, Route, WeightedService};
+use bellyoke_core::cookie::table::ForwardingTable;
+use bellyoke_core::time::Timestamp;
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::RwLock;
+use std::time::{Duration, Instant};
+
+/// Instances in all, and services that they are spread over.
+const SIZES: [(u32, u32); 2] = [(300, 20), (5_700, 380)];
+/// Packets that are timed together.
+const RUN: u32 = 1_000;
+/// Runs; their median counts.
+const RUNS: u32 = 300;
+
+fn main() {
+    println!("{:<44} {:>10} {:>10}", "ns a packet", "cookie", "plain");
+    for (instances, services) in SIZES {
+        let table = table(instances, services);
+        let plain = Plain::new(instances, services);
+        let mut forwarder = Forwarder::new(HealthSettings::default());
+        let later_cost = median(|number| {
+            let packet = later(number, instances, services);
+            let decision = forwarder.decide(time(number), &table, &packet, false);
+            assert!(matches!(black_box(decision), Decision::Follow { .. }));
+        });
+        let plain_later = median(|number| {
+            let packet = later(number, instances, services);
+            assert!(black_box(plain.follow(&packet)).is_some());
+        });
+        print_row("later packet", instances, later_cost, plain_later);
+        let opening_cost = median(|number| {
+            let packet = opening(number, services);
+            let decision = forwarder.decide(time(number), &table, &packet, false);
+            assert!(matches!(black_box(decision), Decision::Place { .. }));
+        });
+        let plain_opened = median(|number| {
+            let packet = opening(number, services);
+            assert!(black_box(plain.place(&packet)).is_some());
+        });
+        print_row("opening", instances, opening_cost, plain_opened);
+    }
+}
+
+fn print_row(what: &str, instances: u32, cookie: f64, plain: f64) {
+    let label = format!("{what}, {instances} instances");
+    println!("{label:<44} {cookie:>10.1} {plain:>10.1}");
+}
+
+fn median(mut packet: impl FnMut(u32)) -> f64 {
+    let mut runs: Vec<Duration> = (0..RUNS)
+        .map(|run| {
+            let start = Instant::now();
+            for index in 0..RUN {
+                packet(run * RUN + index);
+            }
+            start.elapsed()
+        })
+        .collect();
+    runs.sort_unstable();
+    runs[runs.len() / 2].as_secs_f64() * 1e9 / f64::from(RUN)
+}
+
+/// A millisecond a packet, so that openings under way expire as on a node.
+fn time(number: u32) -> Timestamp {
+    Timestamp::from_micros(u64::from(number) * 1_000)
+}
+
+fn service_address(service: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0xc612_0000 + service), 443)
+}
+
+fn instance_address(instance: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + instance), 8_080)
+}
+
+fn instance_id(instance: u32) -> InstanceId {
+    InstanceId(u64::from(instance.wrapping_mul(0x9e37_79b1) | 1))
+}
+
+fn flow(number: u32, services: u32) -> FlowTuple {
+    let port = u16::try_from(1_024 + number % 60_000).unwrap_or_default();
+    FlowTuple {
+        client: SocketAddrV4::new(Ipv4Addr::from(0x6440_0000 + number / 60_000), port),
+        service: service_address(number % services),
+    }
+}
+
+fn opening(number: u32, services: u32) -> FlowPacket {
+    FlowPacket {
+        flow: flow(number, services),
+        role: PacketRole::Opening { attempt: 0 },
+        cookie: None,
+    }
+}
+
+fn later(number: u32, instances: u32, services: u32) -> FlowPacket {
+    let instance = number.wrapping_mul(0x85eb_ca6b) % instances;
+    FlowPacket {
+        flow: flow(number, services),
+        role: PacketRole::Later,
+        cookie: Some(Cookie::of(instance_id(instance))),
+    }
+}
+
+fn table(instances: u32, services: u32) -> ForwardingTable {
+    let record = |instance: u32| InstanceRecord {
+        id: instance_id(instance),
+        revision: Revision(1),
+        service: format!("service-{}", instance % services),
+        address: instance_address(instance),
+        zone: "zone".to_owned(),
+        state: InstanceState::Ready,
+        cold_remaining_milliseconds: 0,
+    };
+    let route = |service: u32| Route {
+        name: format!("route-{service}"),
+        address: service_address(service),
+        services: vec![WeightedService {
+            service: format!("service-{service}"),
+            weight: 1,
+        }],
+    };
+    let mut replica = Replica::new(Duration::from_secs(70));
+    replica.adopt_configuration(Configuration {
+        revision: Revision(1),
+        version: 1,
+        routes: (0..services).map(route).collect(),
+        idle_timeout_milliseconds: 15_000,
+    });
+    let records = (0..instances).map(record).collect();
+    replica.replace_instances(Timestamp::ZERO, Revision(2), records);
+    replica.table()
+}
+
+/// The plain way.
+struct Plain {
+    instances: RwLock<HashMap<u32, (u32, SocketAddrV4)>>,
+    routes: HashMap<SocketAddrV4, u32>,
+}
+
+impl Plain {
+    fn new(instances: u32, services: u32) -> Self {
+        let entry = |instance: u32| {
+            let cookie = Cookie::of(instance_id(instance)).bits();
+            (cookie, (instance % services, instance_address(instance)))
+        };
+        Self {
+            instances: RwLock::new((0..instances).map(entry).collect()),
+            routes: (0..services)
+                .map(|service| (service_address(service), service))
+                .collect(),
+        }
+    }
+
+    fn follow(&self, packet: &FlowPacket) -> Option<SocketAddrV4> {
+        let instances = self.instances.read().ok()?;
+        let (_, address) = instances.get(&packet.cookie?.bits())?;
+        Some(*address)
+    }
+
+    fn place(&self, packet: &FlowPacket) -> Option<SocketAddrV4> {
+        let service = self.routes.get(&packet.flow.service)?;
+        let hash = packet.flow.hash();
+        let instances = self.instances.read().ok()?;
+        let mut candidates: Vec<_> = instances
+            .iter()
+            .filter(|(_, (its_service, _))| its_service == service)
+            .collect();
+        let score = |cookie: u32| (hash ^ u64::from(cookie)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+        candidates.sort_by_key(|(cookie, _)| score(**cookie));
+        candidates.first().map(|(_, (_, address))| *address)
+    }
+}
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -24,7 +24,12 @@
         suitability: Suitability,
     },
     /// Pass the packet on to the instance that it names.
-    Follow(Destination),
+    Follow {
+        /// Where the packet goes.
+        destination: Destination,
+        /// How long the flow took to open, if this is its first packet after the opening.
+        opened_after: Option<Duration>,
+    },
     /// Answer with a reset.
     Refuse(RefusalReason),
     /// Do nothing.
@@ -149,8 +154,11 @@
         let Some(destination) = table.destination(cookie) else {
             return Decision::Drop(DropReason::UnknownCookie);
         };
-        self.monitor.progress(now, packet.flow.hash(), cookie);
-        Decision::Follow(*destination)
+        let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
+        Decision::Follow {
+            destination: *destination,
+            opened_after,
+        }
     }
 }
 
--- a/crates/bellyoke-core/src/cookie/health.rs
+++ b/crates/bellyoke-core/src/cookie/health.rs
@@ -143,18 +143,16 @@
         self.order.push_back((now, flow_hash));
     }
 
-    /// A later packet of a flow carries the cookie of an instance.
-    pub fn progress(&mut self, now: Timestamp, flow_hash: u64, cookie: Cookie) {
-        if self.pending.remove(&flow_hash).is_none() {
-            return;
-        }
+    /// A later packet of a flow carries the cookie of an instance. Returns how long the opening
+    /// took, if this is the first packet after it.
+    pub fn progress(&mut self, now: Timestamp, flow_hash: u64, cookie: Cookie) -> Option<Duration> {
+        let opening = self.pending.remove(&flow_hash)?;
         self.succeeded_at.insert(cookie, now);
-        let Some(health) = self.failing.remove(&cookie) else {
-            return;
-        };
-        if health.failures >= self.settings.failure_threshold {
+        let failed_before = self.failing.remove(&cookie);
+        if failed_before.is_some_and(|health| health.failures >= self.settings.failure_threshold) {
             self.changes.push(HealthChange::Recovered { cookie });
         }
+        Some(now.since(opening.sent_at))
     }
 
     /// Judges the openings that have waited too long.
--- a/crates/bellyoke-core/tests/cookie/forwarder.rs
+++ b/crates/bellyoke-core/tests/cookie/forwarder.rs
@@ -31,7 +31,7 @@
 
 fn followed(decision: Decision) -> InstanceId {
     match decision {
-        Decision::Follow(destination) => destination.instance,
+        Decision::Follow { destination, .. } => destination.instance,
         other => panic!("not followed: {other:?}"),
     }
 }
@@ -44,6 +44,21 @@
     assert_eq!(followed(decide(&table, &later(1, cookie))), instance);
 }
 
+#[test]
+fn the_first_packet_after_the_opening_tells_how_long_it_took() {
+    let table = node(vec![record(1, 1)]).table();
+    let mut forwarder = forwarder();
+    let (_, cookie, _) = placed(forwarder.decide(at(10_000), &table, &opening(1, 0), false));
+    let took = |decision| match decision {
+        Decision::Follow { opened_after, .. } => opened_after,
+        other => panic!("not followed: {other:?}"),
+    };
+    let first = forwarder.decide(at(10_007), &table, &later(1, cookie), false);
+    assert_eq!(took(first), Some(std::time::Duration::from_millis(7)));
+    let second = forwarder.decide(at(10_009), &table, &later(1, cookie), false);
+    assert_eq!(took(second), None);
+}
+
 #[test]
 fn an_open_flow_follows_its_cookie_whatever_the_route_says_now() {
     let mut replica = node(vec![record(1, 1), of_service("listings", record(2, 1))]);
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -172,7 +172,7 @@
         }
         let decision = self.forwarder.decide(now, &self.table, &view, backlog);
         match decision {
-            Decision::Place { destination, .. } | Decision::Follow(destination) => {
+            Decision::Place { destination, .. } | Decision::Follow { destination, .. } => {
                 let mut forwarded = packet.clone();
                 forwarded.echo = destination.cookie.bits();
                 Forwarded::To(destination, forwarded)
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -2,9 +2,13 @@
 
 use super::store::StoreReader;
 use crate::process::control::{Control, ObjectKind};
-use bellyoke_core::cookie::follower::{Follower, FollowerSettings, Next, Update};
+use crate::process::metrics::{ControlMetrics, StoreCallLabels};
+use bellyoke_core::cookie::follower::{
+    Answer, Follower, FollowerSettings, Freshness, Next, Read, Update,
+};
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Follows one kind of object for the life of the process, and hands news to `apply`.
 pub async fn follow<Reader: StoreReader>(
@@ -26,8 +30,11 @@
             }
             Next::Call(read) => read,
         };
+        let asked_at = clock.now();
         let answer = reader.read(&read).await;
         let mut control = control.borrow_mut();
+        let took = clock.now().since(asked_at);
+        count(control.metrics(), kind, &read, &answer, took);
         let update = follower.answer(clock.now(), answer, control.random());
         if follower.is_following() != following {
             following = !following;
@@ -38,3 +45,38 @@
         }
     }
 }
+
+fn count<Item, Event>(
+    metrics: &ControlMetrics,
+    kind: ObjectKind,
+    read: &Read,
+    answer: &Answer<Item, Event>,
+    took: Duration,
+) {
+    let call = match read {
+        Read::List { .. } => "list",
+        Read::Watch {
+            freshness: Freshness::Newest,
+            ..
+        } => "watch",
+        Read::Watch {
+            freshness: Freshness::MayBeStale,
+            ..
+        } => "stale_watch",
+    };
+    let outcome = match answer {
+        Answer::Page { .. } | Answer::Changes { .. } => "answered",
+        Answer::HistoryGone => "history_gone",
+        Answer::Throttled => "throttled",
+        Answer::Failed => "failed",
+    };
+    if matches!(read, Read::List { .. }) {
+        metrics.list_seconds.observe(took.as_secs_f64());
+    }
+    let labels = StoreCallLabels {
+        kind: kind.name(),
+        call,
+        outcome,
+    };
+    metrics.store_calls.get_or_create(&labels).inc();
+}
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -4,7 +4,9 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::time::Duration;
 
 /// What was done with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,7 +69,7 @@
     fn from(decision: &Decision) -> Self {
         match decision {
             Decision::Place { .. } => Self::Placed,
-            Decision::Follow(_) => Self::Followed,
+            Decision::Follow { .. } => Self::Followed,
             Decision::Refuse(RefusalReason::NoRoute) => Self::RefusedNoRoute,
             Decision::Refuse(RefusalReason::NoInstance) => Self::RefusedNoInstance,
             Decision::Drop(DropReason::Backlog) => Self::DroppedBacklog,
@@ -83,10 +85,15 @@
     outcome: &'static str,
 }
 
+/// Upper bounds of the buckets of the time that flows take to open, seconds. Clients send copies
+/// of an opening after 0.2 and 0.6 s.
+const OPENING_BUCKETS: [f64; 9] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.6, 1.4];
+
 /// Counters of all outcomes, shared by the traffic threads.
 #[derive(Clone, Debug)]
 pub struct PacketCounters {
     counters: [Counter; PacketOutcome::ALL.len()],
+    opening_seconds: Histogram,
 }
 
 impl PacketCounters {
@@ -101,7 +108,21 @@
             };
             family.get_or_create(&label).clone()
         });
-        Self { counters }
+        let opening_seconds = Histogram::new(OPENING_BUCKETS);
+        registry.register(
+            "opening_seconds",
+            "Time from an opening to the next packet of its flow",
+            opening_seconds.clone(),
+        );
+        Self {
+            counters,
+            opening_seconds,
+        }
+    }
+
+    /// A flow has opened.
+    pub fn opened(&self, after: Duration) {
+        self.opening_seconds.observe(after.as_secs_f64());
     }
 
     /// Counts a packet.
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -132,7 +132,15 @@
                 self.log_placed(now, &table, packet, destination, *suitability);
                 self.send_to_instance(datagram, destination)
             }
-            Decision::Follow(destination) => self.send_to_instance(datagram, destination),
+            Decision::Follow {
+                destination,
+                opened_after,
+            } => {
+                if let Some(after) = opened_after {
+                    self.shared.packets.opened(*after);
+                }
+                self.send_to_instance(datagram, destination)
+            }
             Decision::Refuse(_) => self.send_reset(datagram, packet),
             Decision::Drop(_) => Ok(()),
         };
@@ -145,7 +153,7 @@
             Decision::Drop(_) => {
                 self.log_flow(EventCode::PacketDropped, now, &table, packet, outcome);
             }
-            Decision::Place { .. } | Decision::Follow(_) => {}
+            Decision::Place { .. } | Decision::Follow { .. } => {}
         }
         if let Err(error) = sent {
             self.shared.packets.count(PacketOutcome::SendFailed);
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -1,12 +1,33 @@
 //! Counters and gauges of the control thread.
 
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+/// Upper bounds of the buckets of the store's answers to lists, seconds.
+const LIST_BUCKETS: [f64; 7] = [0.005, 0.02, 0.05, 0.1, 0.3, 0.7, 1.5];
+
+/// Labels of a call to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreCallLabels {
+    /// Kind of object.
+    pub kind: &'static str,
+    /// `list`, `watch` or `stale_watch`.
+    pub call: &'static str,
+    /// `answered`, `history_gone`, `throttled` or `failed`.
+    pub outcome: &'static str,
+}
+
 /// What the control thread counts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ControlMetrics {
+    /// Time of the store's answers to lists, seconds. Watches wait by design.
+    pub list_seconds: Histogram,
+    /// Calls to the store by what came of them.
+    pub store_calls: Family<StoreCallLabels, Counter>,
     /// Heartbeats sent to peers.
     pub heartbeats_sent: Counter,
     /// Heartbeats received.
@@ -33,7 +54,30 @@
     /// New metrics, which `registry` shows.
     #[must_use]
     pub fn new(registry: &mut Registry) -> Self {
-        let metrics = Self::default();
+        let metrics = Self {
+            list_seconds: Histogram::new(LIST_BUCKETS),
+            store_calls: Family::default(),
+            heartbeats_sent: Counter::default(),
+            heartbeats_received: Counter::default(),
+            heartbeats_rejected: Counter::default(),
+            snapshots_fetched: Counter::default(),
+            stalls: Counter::default(),
+            peers: Gauge::default(),
+            instances: Gauge::default(),
+            configuration_version: Gauge::default(),
+            instances_age_milliseconds: Gauge::default(),
+            configuration_age_milliseconds: Gauge::default(),
+        };
+        registry.register(
+            "list_seconds",
+            "Time of the store's answers to lists",
+            metrics.list_seconds.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store by kind of object, call and outcome",
+            metrics.store_calls.clone(),
+        );
         let counters = [
             (
                 "heartbeats_sent",
