--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -31,7 +31,7 @@
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Lines of one event in one second.
-const LOG_ALLOWANCE: u32 = 20;
+const LOG_ALLOWANCE: u32 = 200;
 
 /// Starts a thread that forwards what comes in at `socket`.
 ///
--- /dev/null
+++ b/crates/bellyoke-node/tests/settings.rs
@@ -0,0 +1,130 @@
+//! Checked settings of the daemon.
+
+use bellyoke_api::result_code::ResultCode;
+use bellyoke_node::process::command_line::{parse_command_line, reference_table};
+use bellyoke_node::process::settings::{Settings, load_settings, parse_settings};
+use bellyoke_process::settings::{CommandLine, Problems};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const GOOD: &str = r#"
+[node]
+name = "edge-1"
+zone = "cork"
+data_address = "10.1.0.10:8172"
+peer_address = "10.1.0.10:7720"
+ready_address = "10.1.0.10:8167"
+
+[cluster]
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+
+[store]
+address = "10.200.1.7:8169"
+"#;
+
+fn problems(text: &str) -> Vec<(ResultCode, String)> {
+    let Problems(problems) = parse_settings(text, &[]).unwrap_err();
+    problems
+        .into_iter()
+        .map(|problem| (problem.code, problem.key))
+        .collect()
+}
+
+fn documented_table() -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/CONFIGURATION.md");
+    let page = std::fs::read_to_string(root).unwrap();
+    let after = page.split("<!-- node keys -->\n").nth(1).unwrap();
+    let table = after.split("<!-- end of node keys -->").next().unwrap();
+    table.to_owned()
+}
+
+#[test]
+fn the_page_lists_the_keys_of_the_code() {
+    assert_eq!(documented_table(), reference_table());
+}
+
+#[test]
+fn what_is_not_given_has_its_default() {
+    let settings: Settings = parse_settings(GOOD, &[]).unwrap();
+    assert_eq!(settings.timing.leave_grace(), Duration::from_secs(3));
+    assert_eq!(settings.timing.watch_wait(), Duration::from_secs(2));
+    assert_eq!(settings.node.metrics_address, None);
+}
+
+#[test]
+fn gone_instances_outlive_the_longest_flow() {
+    let settings = parse_settings(GOOD, &[]).unwrap();
+    assert!(settings.timing.tombstone_lifetime() > Duration::from_secs(60));
+}
+
+#[test]
+fn seeds_are_sought_at_the_port_of_peers() {
+    let settings = parse_settings(GOOD, &[]).unwrap();
+    let seeds: Vec<String> = settings
+        .peer_seeds()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(seeds, ["10.1.0.10:7720", "10.2.0.40:7720"]);
+}
+
+#[test]
+fn all_problems_are_named_at_once() {
+    let text = GOOD
+        .replace("name = \"edge-1\"\n", "")
+        .replace("\"10.1.0.10:7720\"", "\"peer.example:7720\"")
+        .replace(
+            "[store]",
+            "[timing]\nwatch_wait_ms = 5\nwatch_wait = 2\n[store]",
+        )
+        .replace("zone = \"cork\"", "zone = 7");
+    let mut found = problems(&text);
+    found.sort();
+    let mut expected = vec![
+        (ResultCode::MissingKey, "node.name".to_owned()),
+        (ResultCode::WrongType, "node.zone".to_owned()),
+        (ResultCode::NotAnIpAddress, "node.peer_address".to_owned()),
+        (ResultCode::OutOfRange, "timing.watch_wait_ms".to_owned()),
+        (ResultCode::UnknownKey, "timing.watch_wait".to_owned()),
+    ];
+    expected.sort();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_problem_names_what_is_allowed() {
+    let text = GOOD.replace("[store]", "[timing]\nwatch_wait_ms = 5\n[store]");
+    let shown = parse_settings(&text, &[]).unwrap_err().to_string();
+    assert!(
+        shown.contains("BY1006 timing.watch_wait_ms: found 5, allowed: 200 to 30000"),
+        "{shown}"
+    );
+}
+
+#[test]
+fn a_file_that_is_missing_is_an_error_with_a_code() {
+    let Problems(problems) = load_settings(Some("no/such/file".as_ref()), &[]).unwrap_err();
+    assert_eq!(problems[0].code, ResultCode::SettingsUnreadable);
+}
+
+#[test]
+fn text_that_is_no_toml_is_an_error_with_a_code() {
+    assert_eq!(problems("[node")[0].0, ResultCode::SettingsSyntax);
+}
+
+#[test]
+fn flags_override_the_file() {
+    let arguments = ["--config", "x", "--timing-leave-grace-ms", "1100"].map(OsString::from);
+    let CommandLine::Run { overrides, .. } = parse_command_line(arguments).unwrap() else {
+        panic!("not a run");
+    };
+    let settings = parse_settings(GOOD, &overrides).unwrap();
+    assert_eq!(settings.timing.leave_grace(), Duration::from_millis(1_100));
+}
+
+#[test]
+fn a_flag_that_does_not_exist_is_an_error_with_a_code() {
+    let Problems(problems) = parse_command_line(["--zone".into()]).unwrap_err();
+    assert_eq!(problems[0].code, ResultCode::UnknownKey);
+}
