--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -100,14 +100,7 @@
             },
             ..HealthSettings::default()
         };
-        let follower = FollowerSettings {
-            backoff_longest: if ablations.contains(&Ablation::NoBackoff) {
-                FollowerSettings::default().backoff_first
-            } else {
-                FollowerSettings::default().backoff_longest
-            },
-            ..FollowerSettings::default()
-        };
+        let follower = FollowerSettings::default();
         Self {
             ablations,
             replica: Replica::new(tombstone_lifetime),
@@ -175,6 +168,11 @@
             Decision::Place { destination, .. } | Decision::Follow { destination, .. } => {
                 let mut forwarded = packet.clone();
                 forwarded.echo = destination.cookie.bits();
+                if self.lacks(Ablation::RewriteData)
+                    && let Some(last) = forwarded.data.last_mut()
+                {
+                    *last ^= 0x80;
+                }
                 Forwarded::To(destination, forwarded)
             }
             Decision::Refuse(_) => Forwarded::Reset(packet.reset()),
@@ -316,6 +314,10 @@
         now: Timestamp,
         answer: Answer<InstanceRecord, InstanceEvent>,
     ) -> bool {
+        let answer = match answer {
+            Answer::Throttled if self.lacks(Ablation::NoStaleLists) => Answer::Failed,
+            answer => answer,
+        };
         let update = self.instances.answer(now, answer, &mut self.random);
         match update {
             None => false,
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -21,6 +21,8 @@
     IgnoreDraining,
     /// Packets name no instance, so that whoever has the address takes them.
     AnyInstance,
+    /// A node writes into the data of a packet.
+    RewriteData,
     /// Later packets are placed by hash like openings.
     HashEveryPacket,
     /// A packet with an unknown cookie is answered with a reset.
@@ -31,8 +33,8 @@
     NoHearsay,
     /// All nodes watch by stale reads.
     NoReader,
-    /// A refused list is repeated as it was, and at once.
-    NoBackoff,
+    /// A refused list is repeated as it was.
+    NoStaleLists,
 }
 
 /// Something that happens. Nodes and targets are numbered from zero.
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -96,6 +96,12 @@
     holds(&steady, 1.0);
 }
 
+#[test]
+fn requests_and_answers_need_packets_that_nobody_changes() {
+    needs(&calm(), Ablation::RewriteData, Rule::OnlyAsked);
+    needs(&calm(), Ablation::RewriteData, Rule::OwnAnswer);
+}
+
 #[test]
 fn planned_work_breaks_nothing() {
     holds(&release_and_roll(), 1.0);
@@ -399,20 +405,30 @@
     needs(&scenario, Ablation::NoReader, Rule::Drain);
 }
 
+fn kill_of_all(store: StoreMode) -> Scenario {
+    let scenario = Scenario {
+        nodes: 30,
+        length: Duration::from_secs(30),
+        ..calm()
+    };
+    scenario
+        .at(6_000, Action::KillAll { down: ms(800) })
+        .at(6_000, Action::Store(store))
+}
+
 #[test]
 fn all_nodes_killed_serve_again() {
-    for throttled in [false, true] {
-        let mut scenario = Scenario {
-            nodes: 30,
-            length: Duration::from_secs(30),
-            ..calm()
-        }
-        .at(6_000, Action::KillAll { down: ms(800) });
-        if throttled {
-            scenario = scenario.at(6_000, Action::Store(StoreMode::Throttled));
-        }
-        holds(&scenario, 0.9);
-    }
+    holds(&kill_of_all(StoreMode::Up), 0.9);
+}
+
+#[test]
+fn all_nodes_killed_serve_again_though_the_store_refuses_dear_reads() {
+    holds(&kill_of_all(StoreMode::Throttled), 0.9);
+    needs(
+        &kill_of_all(StoreMode::Throttled),
+        Ablation::NoStaleLists,
+        Rule::Recovery,
+    );
 }
 
 #[test]
--- a/model/common.pml
+++ b/model/common.pml
@@ -15,6 +15,7 @@
 #define NEVER_LOST        7
 #define FENCED            8
 #define CONFLICT_IS_VOID  9
+#define ALL_LEARN         10
 
 #ifndef PROPERTY
 #error "select a property by -DPROPERTY=..."
