Start without what is not needed: metrics that can't be bound, a bound that may be missing

A node whose metrics address was taken did not start, and a deployment whose settings lack the longest life of a flow, or tell a fraction, would have given settings that are refused.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -123,6 +123,7 @@
     SnapshotFailed = 824, Warn, "A peer's snapshot could not be read.";
     SettingsReloaded = 831, Info, "The settings were read again.";
     SettingsRejected = 832, Warn, "The settings have changed but cannot be used; the old ones stay in force.";
+    MetricsUnavailable = 833, Warn, "The address of the metrics cannot be bound; the node runs without it.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -203,8 +203,7 @@
     let ready = listen(node.ready_address, "node.ready_address").await?;
     spawn_local(http_server::serve(Rc::clone(control), ready));
     if let Some(address) = node.metrics_address {
-        let metrics = listen(address, "node.metrics_address").await?;
-        spawn_local(http_server::serve(Rc::clone(control), metrics));
+        serve_metrics(control, address).await;
     }
     let snapshots = listen(node.peer_address, "node.peer_address").await?;
     spawn_local(serve_snapshots(Rc::clone(control), snapshots));
@@ -219,6 +218,16 @@
     Ok(peer_socket)
 }
 
+/// Metrics are not worth a node that doesn't start.
+async fn serve_metrics(control: &Rc<RefCell<Control>>, address: SocketAddrV4) {
+    match listen(address, "node.metrics_address").await {
+        Ok(listener) => {
+            spawn_local(http_server::serve(Rc::clone(control), listener));
+        }
+        Err(error) => log_event(EventCode::MetricsUnavailable, format_args!("{error:#}")),
+    }
+}
+
 async fn listen(address: SocketAddrV4, key: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -28,7 +28,7 @@
         "Some nodes to start from. Only the hosts count: the port is that of `node.peer_address`."),
     key("store", "address", "", ValueKind::Address, Required,
         "TCP address of the store that holds configuration and instances."),
-    key("timing", "flow_lifetime_s", "s", integer(1, 86_400), Literal("60"),
+    key("timing", "flow_lifetime_s", "s", integer(1, 86_400), Literal("120"),
         "Longest life of a flow. Instances whose records have gone are remembered for so long."),
     key("timing", "leave_grace_ms", "ms", integer(0, 600_000), Literal("3000"),
         "How long a leaving node goes on forwarding; longer than routers take to notice."),
--- a/crates/bellyoke-node/tests/settings.rs
+++ b/crates/bellyoke-node/tests/settings.rs
@@ -55,7 +55,7 @@
 #[test]
 fn gone_instances_outlive_the_longest_flow() {
     let settings = parse_settings(GOOD, &[]).unwrap();
-    assert!(settings.timing.tombstone_lifetime() > Duration::from_secs(60));
+    assert!(settings.timing.tombstone_lifetime() > Duration::from_secs(120));
 }
 
 #[test]
