--- /dev/null
+++ b/crates/bellyoke-core/src/node/membership/contact.rs
@@ -0,0 +1,98 @@
+//! Joining, and healing of cuts: exchanges of whole member states.
+
+use super::message::MembershipMessage;
+use super::record::{MemberRecord, MemberState};
+use super::{Membership, MembershipEffect, RECORDS_A_STATE, SEEDS_A_TIME};
+use crate::identity::NodeId;
+use crate::node::budget::{Priority, Transmission};
+use crate::node::message::MessageBody;
+use crate::time::Timestamp;
+use rand::seq::IndexedRandom;
+use std::net::SocketAddr;
+
+impl Membership {
+    /// Tries to reach seeds and members taken for dead: a cut may have healed, and both
+    /// sides have stopped probing each other.
+    pub(super) fn contact(&mut self, now: Timestamp) -> Vec<MembershipEffect> {
+        let alone = self.table.live().is_empty();
+        let interval = if alone {
+            self.settings.probe_period
+        } else {
+            self.settings.contact_interval
+        };
+        let interval = interval / 2 + self.random_part(interval);
+        self.next_contact = now.after(interval);
+        let lost = self.table.records().filter(|one| !one.is_live());
+        let mut contacts: Vec<(Option<NodeId>, SocketAddr)> = lost
+            .filter(|record| record.state == MemberState::Failed)
+            .map(|record| (Some(record.member.node), record.member.peer_address))
+            .collect();
+        contacts.extend(self.seeds.iter().map(|seed| (None, *seed)));
+        let count = if alone { SEEDS_A_TIME } else { 1 };
+        let chosen = contacts.sample(&mut self.random, count);
+        chosen
+            .map(|(node, address)| self.join(*node, *address, true))
+            .collect()
+    }
+
+    pub(super) fn join(
+        &self,
+        to: Option<NodeId>,
+        address: SocketAddr,
+        exchange: bool,
+    ) -> MembershipEffect {
+        let known = to.and_then(|node| self.table.get(node));
+        let doubted = known.filter(|record| record.state != MemberState::Alive);
+        let message = MembershipMessage::Join {
+            updates: doubted.map(MemberRecord::update).into_iter().collect(),
+            record: Box::new(self.own.clone()),
+            digest: self.table.digest(&self.own),
+            exchange,
+        };
+        MembershipEffect::Send(Transmission {
+            to,
+            address,
+            priority: Priority::Probe,
+            body: MessageBody::Membership(message),
+        })
+    }
+
+    pub(super) fn joined(
+        &mut self,
+        now: Timestamp,
+        record: &MemberRecord,
+        digest: u64,
+        exchange: bool,
+    ) -> Vec<MembershipEffect> {
+        let mut effects = self.apply(now, &record.update());
+        let node = record.member.node;
+        let agreed = digest == self.table.digest(&self.own);
+        if agreed || node == self.own.member.node || self.get(node).is_none() {
+            return effects;
+        }
+        if exchange {
+            effects.push(self.join(Some(node), record.member.peer_address, false));
+        }
+        if now >= self.next_state {
+            self.next_state = now.after(self.settings.probe_period);
+            effects.extend(self.send_state(node));
+        }
+        effects
+    }
+
+    pub(super) fn send_state(&self, to: NodeId) -> Vec<MembershipEffect> {
+        let live: Vec<MemberRecord> = self
+            .records()
+            .filter(|one| one.is_live())
+            .cloned()
+            .collect();
+        let parts = live
+            .chunks(RECORDS_A_STATE)
+            .map(|records| MembershipMessage::State {
+                records: records.to_vec(),
+            });
+        parts
+            .filter_map(|part| self.send(to, Priority::Bulk, part))
+            .collect()
+    }
+}
--- a/crates/bellyoke-lab/src/cookie/target.rs
+++ b/crates/bellyoke-lab/src/cookie/target.rs
@@ -1,10 +1,12 @@
 //! A target: a backend that takes packets of flows and answers its clients directly.
 
 use super::packet::{Flags, Packet, data_length};
-use bellyoke_core::cookie::instance::InstanceId;
+use bellyoke_core::cookie::instance::{InstanceId, InstanceRecord, InstanceState};
 use bellyoke_core::cookie::packet::FlowTuple;
+use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::time::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// Time after which unacknowledged data is sent again; doubles up to [`LONGEST_REPEAT`].
@@ -33,6 +35,35 @@
     pub work: Duration,
 }
 
+impl TargetSettings {
+    /// The settings that runs use: two slots, a short queue, work of 10 ms.
+    #[must_use]
+    pub fn usual(id: InstanceId, service: String) -> Self {
+        Self {
+            id,
+            service,
+            slots: 2,
+            queue: 8,
+            flows: 2_000,
+            work: Duration::from_millis(10),
+        }
+    }
+
+    /// The record of a ready target with these settings. The store sets its revision.
+    #[must_use]
+    pub fn record(&self, address: SocketAddrV4) -> InstanceRecord {
+        InstanceRecord {
+            id: self.id,
+            revision: Revision(0),
+            service: self.service.clone(),
+            address,
+            zone: "zone".to_owned(),
+            state: InstanceState::Ready,
+            cold_remaining_milliseconds: 0,
+        }
+    }
+}
+
 /// What happened at a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TargetEvent {
@@ -100,7 +131,7 @@
 }
 
 /// A flow as a key that can be ordered.
-type SocketFlow = (std::net::SocketAddrV4, std::net::SocketAddrV4);
+type SocketFlow = (SocketAddrV4, SocketAddrV4);
 
 const fn key(flow: FlowTuple) -> SocketFlow {
     (flow.client, flow.service)
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -1,14 +1,15 @@
 //! Runs a scenario in virtual time.
 
 mod actions;
+mod clients;
 mod machines;
 
-use super::client::{Client, ClientOutput, ClientSettings};
+use super::client::Client;
 use super::node::{Forwarded, StoreCall};
 use super::packet::Packet;
 use super::router::Router;
 use super::rules::{Origin, Rules, Violation};
-use super::scenario::{Ablation, PROBE_ADDRESS, Scenario, service_address};
+use super::scenario::{Ablation, Scenario};
 use super::store::{Store, StoreAnswer};
 use bellyoke_core::cookie::exchange::{ExchangeEffect, Heartbeat};
 use bellyoke_core::cookie::instance::InstanceId;
@@ -197,44 +198,6 @@
         self.after(POLL, Event::Poll);
     }
 
-    /// Clients begin when the nodes have had time to start.
-    fn add_clients(&mut self) {
-        let services = self.scenario.targets.len();
-        let counts = [
-            (
-                self.scenario.long_clients,
-                self.scenario.requests_a_flow,
-                Duration::from_millis(150),
-            ),
-            (self.scenario.short_clients, 1, Duration::from_millis(150)),
-            (self.scenario.probes, 1, Duration::from_millis(250)),
-        ];
-        for (group, (count, requests_a_flow, pause)) in counts.into_iter().enumerate() {
-            for index in 0..count {
-                let number = self.clients.len();
-                let low = u8::try_from(number % 250).unwrap_or_default();
-                let high = u8::try_from(number / 250).unwrap_or_default();
-                let service = match group {
-                    2 => PROBE_ADDRESS,
-                    _ => service_address(index % services),
-                };
-                let settings = ClientSettings {
-                    address: Ipv4Addr::new(100, 64, high, low),
-                    service,
-                    requests_a_flow,
-                    pause,
-                    deadline: Duration::from_millis(1_500),
-                };
-                let start = self.now.after(Duration::from_millis(
-                    1_200 + self.random.random_range(0..300_u64),
-                ));
-                let first_request = (number as u64) << 32;
-                self.clients
-                    .push(Client::new(settings, start, first_request));
-            }
-        }
-    }
-
     fn run(&mut self) {
         let end = self.now.after(self.scenario.length);
         while let Some(((at, _), event)) = self.events.pop_first() {
@@ -332,33 +295,6 @@
         self.after(POLL, Event::Poll);
     }
 
-    fn client_output(&mut self, output: ClientOutput, origin: Option<Origin>) {
-        for event in &output.events {
-            self.rules.client(self.now, event, origin);
-        }
-        for packet in output.packets {
-            let node = packet.flow().and_then(|flow| self.router.choose(flow));
-            if let Some(node) = node {
-                self.send(Event::AtNode { node, packet });
-            }
-        }
-    }
-
-    fn at_client(&mut self, packet: &Packet, origin: Origin) {
-        let now = self.now;
-        let Some(destination) = packet.destination else {
-            return;
-        };
-        let index = self
-            .clients
-            .iter()
-            .position(|client| client.settings.address == *destination.ip());
-        if let Some(index) = index {
-            let output = self.clients[index].packet(now, packet);
-            self.client_output(output, Some(origin));
-        }
-    }
-
     fn at_node(&mut self, node: usize, packet: Packet) {
         match &mut self.machines[node].state {
             MachineState::Down => {}
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -9,9 +9,8 @@
 use crate::cookie::target::{Target, TargetOutput, TargetSettings};
 use bellyoke_core::cookie::exchange::Heartbeat;
 use bellyoke_core::cookie::follower::Read;
-use bellyoke_core::cookie::instance::{InstanceId, InstanceRecord, InstanceState};
+use bellyoke_core::cookie::instance::{InstanceId, InstanceRecord};
 use bellyoke_core::cookie::replica::Snapshot;
-use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::time::Timestamp;
 use rand::RngExt;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -295,24 +294,9 @@
         let own = SocketAddrV4::new(Ipv4Addr::new(10, 2, high, low), 8_000);
         let address = address.unwrap_or(own);
         let id = InstanceId(u64::from(self.random.random::<u32>() | 1));
-        let record = InstanceRecord {
-            id,
-            revision: Revision(0),
-            service: service_name(service),
-            address,
-            zone: "zone".to_owned(),
-            state: InstanceState::Ready,
-            cold_remaining_milliseconds: 0,
-        };
+        let settings = TargetSettings::usual(id, service_name(service));
+        let record = settings.record(address);
         self.store.put_instance(self.now, record.clone());
-        let settings = TargetSettings {
-            id,
-            service: service_name(service),
-            slots: 2,
-            queue: 8,
-            flows: 2_000,
-            work: Duration::from_millis(10),
-        };
         self.targets.push(RunningTarget {
             id,
             service,
--- /dev/null
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -0,0 +1,86 @@
+//! What the control thread tells of itself: log lines for changed beliefs, and gauges.
+
+use super::Control;
+use bellyoke_api::event_code::EventCode;
+use bellyoke_core::cookie::replica::Source;
+use bellyoke_core::time::Timestamp;
+use bellyoke_process::log::log_event;
+
+impl Control {
+    pub(super) fn note_readiness(&mut self) {
+        let readiness = self.readiness();
+        if readiness.is_ok() != self.was_ready {
+            self.was_ready = readiness.is_ok();
+            log_event(
+                EventCode::ReadinessChanged,
+                format_args!("ready={} reason={:?}", self.was_ready, readiness.err()),
+            );
+        }
+    }
+
+    pub(super) fn note_role(&mut self) {
+        let reader = self.exchange.is_reader();
+        if reader != self.was_reader {
+            self.was_reader = reader;
+            log_event(EventCode::RoleChanged, format_args!("reader={reader}"));
+        }
+    }
+
+    pub(super) fn log_configuration(&self, source: Source) {
+        let Some(configuration) = self.replica.configuration() else {
+            return;
+        };
+        log_event(
+            EventCode::ConfigurationAdopted,
+            format_args!(
+                "version={} revision={} routes={} source={}",
+                configuration.version,
+                configuration.revision,
+                configuration.routes.len(),
+                source.name()
+            ),
+        );
+    }
+
+    pub(super) fn log_instances(&mut self, source: Source) {
+        let directory = self.replica.directory();
+        let known = directory.instances().count();
+        let gone = directory
+            .instances()
+            .filter(|known| known.gone_at.is_some())
+            .count();
+        let revision = directory.changed_at();
+        self.limiter.log(
+            EventCode::InstancesChanged,
+            self.clock.now(),
+            format_args!(
+                "present={} gone={gone} revision={revision} source={}",
+                known - gone,
+                source.name()
+            ),
+        );
+    }
+
+    pub(super) fn show_state(&self, now: Timestamp) {
+        let set = |gauge: &prometheus_client::metrics::gauge::Gauge, value: u128| {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        let metrics = &self.metrics;
+        let heard = self.exchange.peers().filter(|(_, peer)| peer.heard);
+        set(&metrics.peers, heard.count() as u128);
+        let instances = self.replica.directory().instances();
+        set(&metrics.instances, instances.count() as u128);
+        let configuration = self.replica.configuration();
+        let version = configuration.map_or(0, |held| held.version);
+        set(&metrics.configuration_version, u128::from(version));
+        let age = |told_at| now.since(told_at).as_millis();
+        set(
+            &metrics.instances_age_milliseconds,
+            age(self.instances_told_at),
+        );
+        set(
+            &metrics.configuration_age_milliseconds,
+            age(self.configuration_told_at),
+        );
+    }
+}
