--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -238,15 +238,15 @@
         self.peers.suspected(WITNESSES)
     }
 
-    /// Whether this node is one of the few that read the newest state for all: the first by
-    /// rendezvous hash among the peers it knows that the store answers. Nodes that know other
+    /// Whether this node is one of the few that read the newest state for all: the store answers
+    /// it, and it is the first by rendezvous hash among the peers it knows that the store answers. Nodes that know other
     /// peers may see it otherwise, so that now and then there are more or fewer readers; when
     /// one fails the next notices by its heartbeats.
     #[must_use]
     pub fn is_reader(&self) -> bool {
         let own = reader_rank(self.own_address);
         let ahead = self.peers.followers().map(reader_rank);
-        ahead.filter(|rank| *rank < own).count() < READERS
+        self.follows_store && ahead.filter(|rank| *rank < own).count() < READERS
     }
 
     /// A fetch from `from` came to nothing.
--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -17,7 +17,8 @@
     /// How long the store may hold a watch open that may be stale. A connection that says
     /// nothing for longer is dead, so this bounds how long a cut goes unnoticed.
     pub watch_wait: Duration,
-    /// The same for a reader's watch, which is dearer.
+    /// The same for a reader's watch, which is dearer. It may not be much longer: a reader whose
+    /// connection went mute is as blind as any other node.
     pub reader_watch_wait: Duration,
     /// Pause after the first failure; doubles with each further one.
     pub backoff_first: Duration,
@@ -29,7 +30,7 @@
     fn default() -> Self {
         Self {
             watch_wait: Duration::from_millis(2_000),
-            reader_watch_wait: Duration::from_millis(8_000),
+            reader_watch_wait: Duration::from_millis(3_000),
             backoff_first: Duration::from_millis(100),
             backoff_longest: Duration::from_millis(1_000),
         }
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -293,6 +293,16 @@
     assert!((1..=15).contains(&readers), "{readers} readers");
 }
 
+#[test]
+fn while_the_store_answers_nobody_nobody_is_a_reader() {
+    let mut cluster = following(10);
+    for node in cluster.nodes.values_mut() {
+        node.exchange.set_follows_store(false);
+    }
+    cluster.run(5_000);
+    assert!(readers(&cluster).is_empty());
+}
+
 #[test]
 fn a_node_alone_reads() {
     assert_eq!(readers(&following(1)).len(), 1);
--- a/crates/bellyoke-core/tests/cookie/follower.rs
+++ b/crates/bellyoke-core/tests/cookie/follower.rs
@@ -115,7 +115,7 @@
     let next = harness.follower.next(at(0), Freshness::Newest);
     let watch = Read::Watch {
         from: Revision(10),
-        wait: Duration::from_secs(8),
+        wait: Duration::from_secs(3),
         freshness: Freshness::Newest,
     };
     assert_eq!(next, Next::Call(watch));
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -248,6 +248,31 @@
     needs(&mute_store(), Ablation::WaitForever, Rule::Configuration);
 }
 
+/// A long outage, and a change of the configuration a second after it (experiments/days/kinds.txt, after_ack_kill in an
+/// outage: while nobody followed the store every node took itself for a reader, and waited for 9.5 s).
+#[test]
+fn a_configuration_is_in_force_in_time_after_a_long_outage() {
+    let scenario = Scenario {
+        length: Duration::from_secs(26),
+        ..calm()
+    };
+    let scenario = scenario
+        .at(5_000, Action::Store(StoreMode::Silent))
+        .at(17_000, Action::Store(StoreMode::Up))
+        .at(18_100, Action::Configure { probe: Some(1) });
+    for kept in 0..5 {
+        // One node alone learns it, and dies before it tells the others.
+        let killed = scenario.clone().at(
+            18_130,
+            Action::Kill {
+                node: kept,
+                down: ms(3_000),
+            },
+        );
+        holds(&killed, 0.9);
+    }
+}
+
 /// One node never reaches the store again: the others do.
 fn refused_node() -> Scenario {
     calm()
