Take whole numbers that are written as floats

Cause: the users' template fills numbers as they stand in their own settings, where a bound may be written 3000.0; a daemon that refuses it doesn't start. Ruled out: dropping fractions too; 2500.5 milliseconds is a mistake and stays one. Tests: settings::a_node_asks_the_store_itself_within_half_of_the_shorter_bound (3000.0 style), settings::a_fraction_is_no_whole_number.

--- a/crates/bellyoke-process/src/settings/table.rs
+++ b/crates/bellyoke-process/src/settings/table.rs
@@ -1,7 +1,7 @@
 //! Reads the text of a settings file into a table that has passed all checks.
 
 use super::check;
-use super::descriptor::{DefaultValue, KeyDescriptor, Schema};
+use super::descriptor::{DefaultValue, KeyDescriptor, Schema, ValueKind};
 use super::flags::Override;
 use super::problem::{Problem, Problems};
 use bellyoke_api::result_code::ResultCode;
@@ -86,7 +86,8 @@
     let Value::Table(section) = section else {
         return;
     };
-    if let Some(value) = section.get(descriptor.name) {
+    if let Some(value) = section.get_mut(descriptor.name) {
+        normalize_number(descriptor, value);
         check::check_value(descriptor, value, problems);
         return;
     }
@@ -106,6 +107,20 @@
     }
 }
 
+/// A whole number may also be written as a float: `3000.0`.
+fn normalize_number(descriptor: &KeyDescriptor, value: &mut Value) {
+    const LARGEST_EXACT: f64 = 9_007_199_254_740_992.0;
+    if let (ValueKind::Integer { .. }, Value::Float(number)) = (descriptor.kind, &*value)
+        && number.fract() == 0.0
+        && number.abs() <= LARGEST_EXACT
+    {
+        // Exact: whole, and within the integers that a float tells apart.
+        #[expect(clippy::cast_possible_truncation)]
+        let whole = *number as i64;
+        *value = Value::Integer(whole);
+    }
+}
+
 /// The value of a TOML literal.
 pub(super) fn literal_value(literal: &str) -> Option<Value> {
     let table: Table = format!("value = {literal}").parse().ok()?;
