--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -0,0 +1,290 @@
+//! One node's control state: what it knows, and what it tells and asks its peers.
+//!
+//! A host hands in what the store and peers say, does the effects, and publishes the forwarding
+//! table after each change.
+
+use crate::cookie::exchange::{
+    DeltaMessage, Exchange, ExchangeEffect, FetchRequest, Heartbeat, PeerDatagram, StoreDuty,
+};
+use crate::cookie::follower::{Update, WatchPlan};
+use crate::cookie::freshness::ObjectKind;
+use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use crate::cookie::replica::{Replica, Snapshot, StateChange, Versions};
+use crate::cookie::revision::Revision;
+use crate::cookie::route::Configuration;
+use crate::cookie::stall::StallDetector;
+use crate::time::Timestamp;
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// What came of a piece of news.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// What changed in the node's state.
+    pub change: StateChange,
+    /// What the host has to do.
+    pub effects: Vec<ExchangeEffect>,
+}
+
+/// The control state of one node.
+///
+/// ```
+/// use bellyoke_core::cookie::coordinator::Coordinator;
+/// use bellyoke_core::cookie::exchange::{Exchange, ExchangeSettings};
+/// use bellyoke_core::cookie::follower::Update;
+/// use bellyoke_core::cookie::replica::Replica;
+/// use bellyoke_core::cookie::revision::Revision;
+/// use bellyoke_core::time::Timestamp;
+/// use std::time::Duration;
+///
+/// let own_address = "10.0.0.1:7000".parse().unwrap();
+/// let exchange = Exchange::new(ExchangeSettings::default(), own_address, Vec::new(), 1);
+/// let replica = Replica::new(Duration::from_secs(70));
+/// let mut coordinator = Coordinator::new(replica, exchange);
+/// let empty = Update::Whole { at: Revision(3), items: Vec::new() };
+/// assert!(coordinator.instances(Timestamp::ZERO, empty).change.directory);
+/// ```
+#[derive(Debug)]
+pub struct Coordinator {
+    replica: Replica,
+    exchange: Exchange,
+    stall: StallDetector,
+    /// By [`ObjectKind`]: whether the last call to the store was answered.
+    store_usable: [bool; 2],
+}
+
+impl Coordinator {
+    /// A node that has just started.
+    #[must_use]
+    pub const fn new(replica: Replica, exchange: Exchange) -> Self {
+        Self {
+            replica,
+            exchange,
+            stall: StallDetector::new(),
+            store_usable: [true; 2],
+        }
+    }
+
+    /// What the node knows.
+    #[must_use]
+    pub const fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// How it speaks to its peers.
+    #[must_use]
+    pub const fn exchange(&self) -> &Exchange {
+        &self.exchange
+    }
+
+    /// Replaces the addresses where peers are looked for.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.exchange.set_seeds(seeds);
+    }
+
+    /// What the node reads of the store.
+    #[must_use]
+    pub fn duty(&self, now: Timestamp) -> StoreDuty {
+        self.exchange.duty(now)
+    }
+
+    /// How the node goes on reading objects of a kind.
+    #[must_use]
+    pub fn watch_plan(&self, now: Timestamp, kind: ObjectKind) -> WatchPlan {
+        let versions = self.replica.versions();
+        self.exchange.watch_plan(now, kind, versions)
+    }
+
+    /// The revision up to which everything of a kind is known, wherever it came from.
+    #[must_use]
+    pub fn known_up_to(&self, kind: ObjectKind) -> Revision {
+        let versions = self.replica.versions();
+        match kind {
+            ObjectKind::Instances => versions.directory_as_of,
+            ObjectKind::Configuration => versions.configuration_as_of,
+        }
+    }
+
+    /// Whether the store answered the last call for objects of a kind.
+    pub fn note_store(&mut self, kind: ObjectKind, usable: bool) {
+        self.store_usable[kind as usize] = usable;
+        self.exchange
+            .set_store_usable(self.store_usable == [true; 2]);
+    }
+
+    /// The store tells of instances.
+    pub fn instances(
+        &mut self,
+        now: Timestamp,
+        update: Update<InstanceRecord, InstanceEvent>,
+    ) -> Outcome {
+        let before = self.replica.versions();
+        let directory = match update {
+            Update::Whole { at, items } => self.replica.replace_instances(now, at, items),
+            Update::Changes { at, events } => self.replica.apply_instances(now, at, events),
+        };
+        let change = StateChange {
+            directory,
+            ..StateChange::default()
+        };
+        self.told_by_store(now, ObjectKind::Instances, before, change)
+    }
+
+    /// The store tells of the configuration.
+    pub fn configurations(
+        &mut self,
+        now: Timestamp,
+        update: Update<Configuration, Configuration>,
+    ) -> Outcome {
+        let before = self.replica.versions();
+        let (Update::Whole {
+            at,
+            items: configurations,
+        }
+        | Update::Changes {
+            at,
+            events: configurations,
+        }) = update;
+        let mut change = StateChange::default();
+        for configuration in configurations {
+            change.configuration |= self.replica.adopt_configuration(configuration);
+        }
+        self.replica.confirm_configuration(at);
+        self.told_by_store(now, ObjectKind::Configuration, before, change)
+    }
+
+    /// A datagram has come from a peer.
+    pub fn datagram(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddrV4,
+        datagram: PeerDatagram,
+    ) -> Outcome {
+        self.notice_stall(now);
+        match datagram {
+            PeerDatagram::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat),
+            PeerDatagram::Delta(message) => self.delta(now, from, message),
+        }
+    }
+
+    /// A snapshot that was fetched from a peer has come.
+    pub fn snapshot(&mut self, now: Timestamp, snapshot: Snapshot) -> Outcome {
+        let before = self.replica.versions();
+        self.exchange.fetched();
+        let change = self.replica.merge(now, snapshot);
+        self.changed(now, before, change)
+    }
+
+    /// A fetch from a peer came to nothing.
+    pub fn fetch_failed(&mut self, from: SocketAddrV4) {
+        self.exchange.fetch_failed(from);
+    }
+
+    /// Time has passed. Returns how long the process stood still, if it did.
+    pub fn tick(&mut self, now: Timestamp) -> (Outcome, Option<Duration>) {
+        self.notice_stall(now);
+        let stalled = self.stall.tick(now);
+        let change = StateChange {
+            directory: self.replica.expire(now),
+            ..StateChange::default()
+        };
+        let replica = &self.replica;
+        let behind = |versions| replica.is_behind(versions);
+        let effects = self.exchange.tick(now, replica.versions(), behind);
+        (Outcome { change, effects }, stalled)
+    }
+
+    /// Instances that fail the openings that this node sends. Tells peers of a change at once.
+    pub fn set_suspected(&mut self, now: Timestamp, suspected: Vec<Cookie>) -> Vec<ExchangeEffect> {
+        self.exchange.set_suspected(suspected);
+        self.exchange.announce(now, self.replica.versions())
+    }
+
+    /// Instances that several peers suspect.
+    #[must_use]
+    pub fn suspected_by_peers(&self) -> BTreeSet<Cookie> {
+        self.exchange.suspected_by_peers()
+    }
+
+    /// The node leaves: tells a few peers.
+    pub fn leave(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
+        self.exchange.leave(now, self.replica.versions())
+    }
+
+    /// The message for a peer that knows `known`; none if it lacks nothing, or too much.
+    #[must_use]
+    pub fn delta_for(&self, now: Timestamp, known: Versions) -> Option<DeltaMessage> {
+        Some(DeltaMessage {
+            versions: self.replica.versions(),
+            delta: self.replica.delta_for(now, known)?,
+        })
+    }
+
+    /// What this node asks a peer that is ahead.
+    #[must_use]
+    pub fn fetch_request(&self) -> FetchRequest {
+        FetchRequest {
+            known: self.replica.versions(),
+        }
+    }
+
+    /// The answer to a peer's request.
+    #[must_use]
+    pub fn snapshot_for(&self, now: Timestamp, request: FetchRequest) -> Snapshot {
+        self.replica.snapshot_for(now, request.known)
+    }
+
+    fn heartbeat(&mut self, now: Timestamp, from: SocketAddrV4, heartbeat: &Heartbeat) -> Outcome {
+        self.replica.confirm(heartbeat.versions);
+        let replica = &self.replica;
+        let behind = |versions| replica.is_behind(versions);
+        let effects = self
+            .exchange
+            .heartbeat(now, from, heartbeat, replica.versions(), behind);
+        Outcome {
+            change: StateChange::default(),
+            effects,
+        }
+    }
+
+    fn delta(&mut self, now: Timestamp, from: SocketAddrV4, message: DeltaMessage) -> Outcome {
+        let before = self.replica.versions();
+        let change = self.replica.merge_delta(now, message.delta);
+        self.replica.confirm(message.versions);
+        self.exchange.note_versions(from, message.versions);
+        self.changed(now, before, change)
+    }
+
+    fn told_by_store(
+        &mut self,
+        now: Timestamp,
+        kind: ObjectKind,
+        before: Versions,
+        change: StateChange,
+    ) -> Outcome {
+        self.notice_stall(now);
+        let mut outcome = self.changed(now, before, change);
+        let own = self.replica.versions();
+        let effects = self.exchange.store_confirmed(now, kind, own);
+        outcome.effects.extend(effects);
+        outcome
+    }
+
+    fn changed(&mut self, now: Timestamp, before: Versions, change: StateChange) -> Outcome {
+        let effects = if change.any() {
+            let own = self.replica.versions();
+            self.exchange.changed(now, before, own)
+        } else {
+            Vec::new()
+        };
+        Outcome { change, effects }
+    }
+
+    /// After a stall, confirmations that waited in sockets are old.
+    fn notice_stall(&mut self, now: Timestamp) {
+        if self.stall.is_overdue(now) {
+            self.exchange.stalled(now);
+        }
+    }
+}
--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -4,6 +4,7 @@
 //! and an outage of the store takes records of healthy instances. So a gone instance stays
 //! known (a tombstone) for as long as a flow of its may live, and its flows go on.
 
+use crate::cookie::delta::DirectoryDelta;
 use crate::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
 use crate::cookie::revision::Revision;
 use crate::time::Timestamp;
@@ -25,6 +26,8 @@
     pub warm_at: Timestamp,
     /// When its record went, if it has.
     pub gone_at: Option<Timestamp>,
+    /// The revision by which its record had gone, if it has; it may have gone a little earlier.
+    pub gone_revision: Revision,
 }
 
 /// A gone instance as nodes tell each other of it.
@@ -34,6 +37,8 @@
     pub record: InstanceRecord,
     /// How long ago its record went, milliseconds.
     pub age_milliseconds: u32,
+    /// The revision by which it had gone.
+    pub revision: Revision,
 }
 
 /// All instances that a node knows.
@@ -43,6 +48,8 @@
     known: BTreeMap<InstanceId, KnownInstance>,
     as_of: Option<Revision>,
     changed_at: Revision,
+    /// All instances that went after this revision are still known.
+    complete_since: Revision,
 }
 
 impl Directory {
@@ -54,6 +61,7 @@
             known: BTreeMap::new(),
             as_of: None,
             changed_at: Revision(0),
+            complete_since: Revision(0),
         }
     }
 
@@ -81,10 +89,13 @@
             return false;
         }
         let mut changed = self.as_of.is_none();
+        // What came and went since the last revision known is in no list.
+        self.complete_since = at;
         let listed: BTreeSet<InstanceId> = records.iter().map(|record| record.id).collect();
         for known in self.known.values_mut() {
             if !listed.contains(&known.record.id) && known.gone_at.is_none() {
                 known.gone_at = Some(now);
+                known.gone_revision = at;
                 changed = true;
             }
         }
@@ -103,16 +114,59 @@
             return false;
         }
         let mut changed = false;
-        for event in last_events(events) {
+        for LastEvent { event, record } in last_events(events) {
             changed |= match event {
                 InstanceEvent::Put(record) if record.revision <= as_of => false,
                 InstanceEvent::Put(record) => self.put(now, record),
-                InstanceEvent::Gone(id) => self.remove(now, id),
+                InstanceEvent::Gone(id) => self.remove(now, at, id, record),
             };
         }
         self.advance(at, changed)
     }
 
+    /// What has changed since a revision, for a peer that knows everything up to it; none if too
+    /// much has been forgotten since then, or if this node knows no more.
+    #[must_use]
+    pub fn delta_since(&self, now: Timestamp, since: Revision) -> Option<DirectoryDelta> {
+        let as_of = self.as_of?;
+        if since < self.complete_since || since >= as_of {
+            return None;
+        }
+        let present = self.known.values().filter(|known| known.gone_at.is_none());
+        let changed = present.filter(|known| known.record.revision > since);
+        let tombstones = self.tombstones(now).into_iter();
+        Some(DirectoryDelta {
+            since,
+            as_of,
+            records: changed.map(|known| known.record_at(now)).collect(),
+            gone: tombstones
+                .filter(|tombstone| tombstone.revision > since)
+                .collect(),
+        })
+    }
+
+    /// Takes over what a peer knows to have changed. Returns whether anything changed; a delta
+    /// that starts after what is known, or ends before it, changes nothing.
+    pub fn apply_delta(&mut self, now: Timestamp, delta: DirectoryDelta) -> bool {
+        if self.as_of.is_none_or(|as_of| as_of < delta.since) {
+            return false;
+        }
+        let gone = delta.gone.iter();
+        let gone = gone.map(|tombstone| InstanceEvent::Gone(tombstone.record.id));
+        let put = delta.records.into_iter().map(InstanceEvent::Put);
+        let changed = self.apply(now, delta.as_of, put.chain(gone).collect());
+        self.learn_tombstones(now, delta.gone) || changed
+    }
+
+    /// A peer's word that nothing has changed after `changed_at` up to `as_of`.
+    pub fn confirm(&mut self, changed_at: Revision, as_of: Revision) {
+        if let Some(known) = &mut self.as_of
+            && changed_at <= *known
+        {
+            *known = as_of.max(*known);
+        }
+    }
+
     /// Learns of gone instances that this node never saw, so that their flows go on here too.
     /// Returns whether any was new.
     pub fn learn_tombstones(&mut self, now: Timestamp, tombstones: Vec<Tombstone>) -> bool {
@@ -130,6 +184,7 @@
                 first_seen: gone_at,
                 warm_at: gone_at,
                 gone_at: Some(gone_at),
+                gone_revision: tombstone.revision,
             };
             self.known.insert(id, instance);
             changed = true;
@@ -141,10 +196,15 @@
     pub fn expire(&mut self, now: Timestamp) -> bool {
         let before = self.known.len();
         let lifetime = self.tombstone_lifetime;
+        let complete_since = &mut self.complete_since;
         self.known.retain(|_, known| {
-            known
+            let kept = known
                 .gone_at
-                .is_none_or(|gone_at| now.since(gone_at) < lifetime)
+                .is_none_or(|gone_at| now.since(gone_at) < lifetime);
+            if !kept {
+                *complete_since = known.gone_revision.max(*complete_since);
+            }
+            kept
         });
         self.drop_excess_tombstones();
         self.known.len() != before
@@ -165,6 +225,7 @@
             Some(Tombstone {
                 record: known.record.clone(),
                 age_milliseconds: saturating_milliseconds(age),
+                revision: known.gone_revision,
             })
         });
         gone.collect()
@@ -191,16 +252,37 @@
             first_seen,
             warm_at: now.after(cold),
             gone_at: None,
+            gone_revision: Revision(0),
             record,
         };
         self.known.insert(instance.record.id, instance);
         true
     }
 
-    fn remove(&mut self, now: Timestamp, id: InstanceId) -> bool {
-        match self.known.get_mut(&id) {
-            Some(known) if known.gone_at.is_none() => {
+    /// An instance is gone. One that came and went within one answer is known by its `record`
+    /// there: a peer that asked in between may know it as present.
+    fn remove(
+        &mut self,
+        now: Timestamp,
+        at: Revision,
+        id: InstanceId,
+        record: Option<InstanceRecord>,
+    ) -> bool {
+        match (self.known.get_mut(&id), record) {
+            (Some(known), _) if known.gone_at.is_none() => {
                 known.gone_at = Some(now);
+                known.gone_revision = at;
+                true
+            }
+            (None, Some(record)) => {
+                let instance = KnownInstance {
+                    record,
+                    first_seen: now,
+                    warm_at: now,
+                    gone_at: Some(now),
+                    gone_revision: at,
+                };
+                self.known.insert(id, instance);
                 true
             }
             _ => false,
@@ -216,7 +298,9 @@
         let excess = gone.len().saturating_sub(MAXIMUM_TOMBSTONES);
         gone.sort_unstable();
         for (_, id) in gone.into_iter().take(excess) {
-            self.known.remove(&id);
+            if let Some(known) = self.known.remove(&id) {
+                self.complete_since = known.gone_revision.max(self.complete_since);
+            }
         }
     }
 }
@@ -230,17 +314,26 @@
     }
 }
 
+/// The last event of an instance among several.
+struct LastEvent {
+    event: InstanceEvent,
+    /// The last record of it among them.
+    record: Option<InstanceRecord>,
+}
+
 /// The last event of each instance. The earlier ones may be older than what is known: an
 /// instance that went and came back before then must not go again.
-fn last_events(events: Vec<InstanceEvent>) -> Vec<InstanceEvent> {
-    let mut seen = BTreeSet::new();
-    let mut last: Vec<InstanceEvent> = events
-        .into_iter()
-        .rev()
-        .filter(|event| seen.insert(event.id()))
-        .collect();
-    last.reverse();
-    last
+fn last_events(events: Vec<InstanceEvent>) -> Vec<LastEvent> {
+    let mut last: BTreeMap<InstanceId, LastEvent> = BTreeMap::new();
+    for event in events {
+        let id = event.id();
+        let record = match &event {
+            InstanceEvent::Put(record) => Some(record.clone()),
+            InstanceEvent::Gone(_) => last.remove(&id).and_then(|earlier| earlier.record),
+        };
+        last.insert(id, LastEvent { event, record });
+    }
+    last.into_values().collect()
 }
 
 fn saturating_milliseconds(duration: Duration) -> u32 {
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -4,6 +4,8 @@
 //! plain BLAKE3 as a checksum where no key is set) and an rkyv archive. Nothing received is
 //! trusted: length, tag and archive are validated, and lists are bounded.
 
+use super::candidates::{WATCHERS, WatcherClaim};
+use crate::cookie::delta::StateDelta;
 use crate::cookie::replica::{Snapshot, Versions};
 use rkyv::util::AlignedVec;
 use rkyv::{Archive, Deserialize, Serialize};
@@ -11,7 +13,7 @@
 use thiserror::Error;
 
 /// Version of the peer protocol of nodes that forward by cookie.
-const PROTOCOL_VERSION: u8 = 1;
+const PROTOCOL_VERSION: u8 = 2;
 
 /// Kind byte of a heartbeat.
 const HEARTBEAT_KIND: u8 = 1;
@@ -19,12 +21,24 @@
 /// Kind byte of a snapshot.
 const SNAPSHOT_KIND: u8 = 2;
 
+/// Kind byte of a delta.
+const DELTA_KIND: u8 = 3;
+
+/// Kind byte of a request for a snapshot.
+const FETCH_KIND: u8 = 4;
+
 const TAG_LENGTH: usize = blake3::OUT_LEN;
 const HEADER_LENGTH: usize = 2 + TAG_LENGTH;
 
 /// Longest heartbeat, bytes: it fits one datagram on any usual path.
 pub const MAXIMUM_HEARTBEAT_LENGTH: usize = 512;
 
+/// Longest datagram between peers, bytes: a delta that is longer is fetched instead.
+pub const MAXIMUM_DATAGRAM_LENGTH: usize = 1_400;
+
+/// Longest request for a snapshot, bytes.
+pub const MAXIMUM_FETCH_LENGTH: usize = 256;
+
 /// Longest snapshot, bytes. 5,700 instances and 1,800 routes take about 1 MB.
 pub const MAXIMUM_SNAPSHOT_LENGTH: usize = 16 * 1024 * 1024;
 
@@ -35,14 +49,55 @@
     pub versions: Versions,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Whether the store answers it.
-    pub follows_store: bool,
+    /// How long ago its state was known to be the newest, milliseconds; none if it never was.
+    pub confirmed_age_milliseconds: Option<u32>,
+    /// The best claims to watch the store that it knows.
+    pub claims: Vec<WatcherClaim>,
     /// Some peers that it has heard of late.
     pub peers: Vec<SocketAddrV4>,
     /// Cookies of instances that don't complete the openings that it sends itself.
     pub suspected: Vec<u32>,
 }
 
+/// What a peer that knew a little less needs to know.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct DeltaMessage {
+    /// The sender's versions.
+    pub versions: Versions,
+    /// What changed.
+    pub delta: StateDelta,
+}
+
+/// A request for what the sender lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct FetchRequest {
+    /// The sender's versions.
+    pub known: Versions,
+}
+
+/// A datagram of a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerDatagram {
+    /// Its report of itself.
+    Heartbeat(Heartbeat),
+    /// News.
+    Delta(DeltaMessage),
+}
+
+impl PeerDatagram {
+    /// The message that a datagram holds.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if it holds none.
+    pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
+        if bytes.get(1) == Some(&DELTA_KIND) {
+            return DeltaMessage::decode(bytes, key).map(Self::Delta);
+        }
+        Heartbeat::decode(bytes, key).map(Self::Heartbeat)
+    }
+}
+
 /// Why bytes are no message of a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum DecodeError {
@@ -173,6 +228,7 @@
         let heartbeat = rkyv::from_bytes::<Self, rkyv::rancor::Error>(&archive)
             .map_err(|error| DecodeError::Invalid(error.to_string()))?;
         if heartbeat.peers.len() > Self::MAXIMUM_PEERS
+            || heartbeat.claims.len() > WATCHERS
             || heartbeat.suspected.len() > Self::MAXIMUM_SUSPECTED
         {
             return Err(DecodeError::Length {
@@ -183,6 +239,52 @@
     }
 }
 
+impl DeltaMessage {
+    /// The bytes of this message.
+    ///
+    /// # Errors
+    ///
+    /// [`EncodeError`] if it is too long for a datagram.
+    pub fn encode(&self, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
+        let archive = serialize(self)?;
+        key.seal(DELTA_KIND, &archive, MAXIMUM_DATAGRAM_LENGTH)
+    }
+
+    /// The message that `bytes` encode.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if they encode none.
+    pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
+        let archive = key.open(DELTA_KIND, bytes, MAXIMUM_DATAGRAM_LENGTH)?;
+        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&archive)
+            .map_err(|error| DecodeError::Invalid(error.to_string()))
+    }
+}
+
+impl FetchRequest {
+    /// The bytes of this request.
+    ///
+    /// # Errors
+    ///
+    /// [`EncodeError`] if the serializer fails.
+    pub fn encode(&self, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
+        let archive = serialize(self)?;
+        key.seal(FETCH_KIND, &archive, MAXIMUM_FETCH_LENGTH)
+    }
+
+    /// The request that `bytes` encode.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if they encode none.
+    pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
+        let archive = key.open(FETCH_KIND, bytes, MAXIMUM_FETCH_LENGTH)?;
+        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&archive)
+            .map_err(|error| DecodeError::Invalid(error.to_string()))
+    }
+}
+
 /// The bytes of a snapshot.
 ///
 /// # Errors
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -2,41 +2,58 @@
 //!
 //! Gossip by random peer sampling (Demers et al. 1987; Jelasity et al. 2007): each period a node
 //! sends a short heartbeat with its versions to a few random peers, whatever the size of the
-//! cluster, and at once to a few when it has learned something. Who finds itself behind fetches
-//! a snapshot from the one that is ahead. So a node that the store refuses, or whose watch hangs,
-//! or that starts while the store is down, still learns everything.
+//! cluster. What a node learns it pushes at once to a few, as a delta, and they push it on. Who is
+//! still behind fetches a snapshot from one that is ahead. So a node that the store refuses, or
+//! whose watch hangs, or that starts while the store is down, still learns everything.
+//!
+//! Three nodes watch the store ([`StoreDuty`]). Their confirmations that nothing newer is there
+//! spread the same way, and the others rest while these are fresh; whoever hears none for
+//! [`ExchangeSettings::freshness_bound`] asks the store itself.
 //!
 //! Unlike [`crate::node::membership`] this needs no agreed member list: nothing is decided by
 //! who takes part, so a sample of live peers is enough.
 
+mod candidates;
 mod message;
 mod peers;
 
+pub use candidates::{CLAIM_LIFETIME, StoreDuty, WATCHERS, WatcherClaim};
 pub use message::{
-    DecodeError, EncodeError, Heartbeat, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH,
-    PeerKey, decode_snapshot, encode_snapshot,
+    DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
+    MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey,
+    decode_snapshot, encode_snapshot,
 };
 pub use peers::PeerRecord;
 
+use crate::cookie::follower::{Freshness, WatchPlan};
+use crate::cookie::freshness::{FreshnessClock, ObjectKind};
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
+use candidates::ClaimTable;
 use peers::PeerTable;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
-use twox_hash::XxHash3_64;
-
-/// Nodes that read the newest state for all.
-const READERS: usize = 1;
 
 /// Peers that must agree that an instance fails.
 const WITNESSES: usize = 2;
 
-/// Keeps the choice of readers apart from other hashes of addresses.
-const READER_SEED: u64 = 0x7265_6164_6572_0001;
+/// A confirmation is pushed on if it is newer by so much than the last one that was.
+const CONFIRMATION_STEP: Duration = Duration::from_millis(500);
+
+/// How long a claim must have been among the best before it counts.
+const CLAIM_PROBATION: Duration = Duration::from_secs(2);
+
+/// How long confirmations of peers count for nothing after this process stood still, since they
+/// may have waited in its socket.
+const DISTRUST: Duration = Duration::from_millis(300);
+
+/// Snapshots that a node fetches after its start though it is not behind: the store doesn't tell
+/// of instances that have gone, and the first peer may have started just now itself.
+const INTRODUCTIONS: u32 = 2;
 
 /// How the exchange is paced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +70,9 @@
     pub patience: Duration,
     /// Shortest time between two fetches.
     pub fetch_interval: Duration,
+    /// How old the last confirmation may be before a node asks the store itself. Well below the
+    /// time within which a change must be in force.
+    pub freshness_bound: Duration,
 }
 
 impl Default for ExchangeSettings {
@@ -64,6 +84,7 @@
             peer_lifetime: Duration::from_secs(10),
             patience: Duration::from_millis(250),
             fetch_interval: Duration::from_millis(300),
+            freshness_bound: Duration::from_millis(1_500),
         }
     }
 }
@@ -78,6 +99,15 @@
         /// What.
         heartbeat: Heartbeat,
     },
+    /// Send what a peer lacks; the heartbeat instead, if that is not known or too long.
+    SendDelta {
+        /// To whom.
+        to: SocketAddrV4,
+        /// What the peer knows.
+        known: Versions,
+        /// What else to send.
+        heartbeat: Heartbeat,
+    },
     /// Fetch a snapshot.
     Fetch {
         /// From whom.
@@ -101,7 +131,15 @@
     next_fetch: Timestamp,
     behind_since: Option<Timestamp>,
     leaving: bool,
-    follows_store: bool,
+    claims: ClaimTable,
+    /// Since when this node's own claim has been among the best.
+    claimed_since: Option<Timestamp>,
+    store_usable: bool,
+    clock: FreshnessClock,
+    /// The last confirmation that was pushed on.
+    told_confirmation: Timestamp,
+    distrust_until: Timestamp,
+    introductions: u32,
     suspected: Vec<Cookie>,
 }
 
@@ -124,7 +162,13 @@
             next_fetch: Timestamp::ZERO,
             behind_since: None,
             leaving: false,
-            follows_store: false,
+            claims: ClaimTable::default(),
+            claimed_since: None,
+            store_usable: true,
+            clock: FreshnessClock::default(),
+            told_confirmation: Timestamp::ZERO,
+            distrust_until: Timestamp::ZERO,
+            introductions: INTRODUCTIONS,
             suspected: Vec::new(),
         };
         exchange.set_seeds(seeds);
@@ -162,7 +206,8 @@
             for lost in self.peers.expire(now, self.settings.peer_lifetime) {
                 effects.push(ExchangeEffect::PeerLost(lost));
             }
-            self.send_round(own, &mut effects);
+            self.renew_claim(now);
+            self.send_round(now, own, &mut effects);
         }
         self.fetch_if_behind(now, own, &behind, &mut effects);
         effects
@@ -182,6 +227,7 @@
             return effects;
         }
         if heartbeat.leaving {
+            self.claims.withdraw(from);
             if self.peers.remove(from) {
                 effects.push(ExchangeEffect::PeerLost(from));
             }
@@ -195,34 +241,108 @@
                 self.peers.suggest(now, *address);
             }
         }
-        if self.deserves_reply(now, from, heartbeat, own) {
-            self.send(from, own, &mut effects);
+        self.note_claims(now, &heartbeat.claims);
+        if !behind(heartbeat.versions) {
+            self.hear_confirmation(now, heartbeat.confirmed_age_milliseconds, own, &mut effects);
         }
+        self.reply(now, from, heartbeat, own, &mut effects);
         self.fetch_if_behind(now, own, &behind, &mut effects);
         effects
     }
 
-    /// This node has learned something: tells a few peers at once.
-    pub fn changed(&mut self, own: Versions) -> Vec<ExchangeEffect> {
+    /// A peer has sent a delta, and told its versions with it.
+    pub fn note_versions(&mut self, from: SocketAddrV4, versions: Versions) {
+        self.peers.note_versions(from, versions);
+    }
+
+    /// This node, which knew `before`, has learned something: tells a few peers at once.
+    pub fn changed(
+        &mut self,
+        now: Timestamp,
+        before: Versions,
+        own: Versions,
+    ) -> Vec<ExchangeEffect> {
+        let heartbeats = self.push_heartbeats(now, own);
+        let deltas = heartbeats.into_iter();
+        let deltas = deltas.map(|(to, heartbeat)| ExchangeEffect::SendDelta {
+            to,
+            known: before,
+            heartbeat,
+        });
+        deltas.collect()
+    }
+
+    /// Tells a few peers at once what doesn't show in the versions.
+    pub fn announce(&mut self, now: Timestamp, own: Versions) -> Vec<ExchangeEffect> {
+        let heartbeats = self.push_heartbeats(now, own).into_iter();
+        let sent = heartbeats.map(|(to, heartbeat)| ExchangeEffect::Send { to, heartbeat });
+        sent.collect()
+    }
+
+    /// This node leaves: tells a few peers, who forget it.
+    pub fn leave(&mut self, now: Timestamp, own: Versions) -> Vec<ExchangeEffect> {
+        self.leaving = true;
+        self.withdraw_claim();
+        self.announce(now, own)
+    }
+
+    /// Whether the store answered this node's last call, if it made one.
+    pub fn set_store_usable(&mut self, store_usable: bool) {
+        self.store_usable = store_usable;
+        if !store_usable {
+            self.withdraw_claim();
+        }
+    }
+
+    /// The store has confirmed this node's state of a kind.
+    pub fn store_confirmed(
+        &mut self,
+        now: Timestamp,
+        kind: ObjectKind,
+        own: Versions,
+    ) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
-        let receivers = self
-            .peers
-            .sample(self.settings.push_fanout, &mut self.random);
-        for receiver in receivers {
-            self.send(receiver, own, &mut effects);
+        if now >= self.distrust_until {
+            self.clock.confirm(kind, now);
+            self.push_confirmation(now, own, &mut effects);
         }
         effects
     }
 
-    /// This node leaves: tells a few peers, who forget it.
-    pub fn leave(&mut self, own: Versions) -> Vec<ExchangeEffect> {
-        self.leaving = true;
-        self.changed(own)
+    /// The process stood still: what peers said meanwhile may be old.
+    pub fn stalled(&mut self, now: Timestamp) {
+        self.clock.forget();
+        self.distrust_until = now.after(DISTRUST);
     }
 
-    /// Whether the store answers this node.
-    pub const fn set_follows_store(&mut self, follows_store: bool) {
-        self.follows_store = follows_store;
+    /// How long ago this node's state was known to be the newest; none if it never was.
+    #[must_use]
+    pub fn confirmation_age(&self, now: Timestamp) -> Option<Duration> {
+        self.clock.age(now)
+    }
+
+    /// What this node reads of the store. A claim counts once it has stood for a while, so that
+    /// nodes that start or lose their watchers together don't all watch at once.
+    #[must_use]
+    pub fn duty(&self, now: Timestamp) -> StoreDuty {
+        let stood = self.claimed_since.map(|since| now.since(since));
+        if stood.is_some_and(|stood| stood >= CLAIM_PROBATION) {
+            self.claims.duty(self.own_address)
+        } else {
+            StoreDuty::Listener
+        }
+    }
+
+    /// How this node goes on reading objects of a kind.
+    #[must_use]
+    pub fn watch_plan(&self, now: Timestamp, kind: ObjectKind, own: Versions) -> WatchPlan {
+        match (self.duty(now), self.clock.confirmed_at(kind)) {
+            (StoreDuty::Reader, _) => WatchPlan::Watch(Freshness::Newest),
+            (StoreDuty::Listener, Some(confirmed_at)) if !own.is_empty() => {
+                WatchPlan::RestUntil(confirmed_at.after(self.settings.freshness_bound))
+            }
+            (StoreDuty::Backup | StoreDuty::Listener, _) => WatchPlan::Watch(Freshness::MayBeStale),
+        }
     }
 
     /// Instances that don't complete the openings that this node sends itself. What it only
@@ -238,15 +358,9 @@
         self.peers.suspected(WITNESSES)
     }
 
-    /// Whether this node is one of the few that read the newest state for all: the store answers
-    /// it, and it is the first by rendezvous hash among the peers it knows that the store answers. Nodes that know other
-    /// peers may see it otherwise, so that now and then there are more or fewer readers; when
-    /// one fails the next notices by its heartbeats.
-    #[must_use]
-    pub fn is_reader(&self) -> bool {
-        let own = reader_rank(self.own_address);
-        let ahead = self.peers.followers().map(reader_rank);
-        self.follows_store && ahead.filter(|rank| *rank < own).count() < READERS
+    /// A snapshot of a peer was taken over.
+    pub const fn fetched(&mut self) {
+        self.introductions = self.introductions.saturating_sub(1);
     }
 
     /// A fetch from `from` came to nothing.
@@ -260,7 +374,7 @@
             .mul_f64(self.random.random_range(0.8..=1.2))
     }
 
-    fn send_round(&mut self, own: Versions, effects: &mut Vec<ExchangeEffect>) {
+    fn send_round(&mut self, now: Timestamp, own: Versions, effects: &mut Vec<ExchangeEffect>) {
         let mut receivers = self.peers.sample(self.settings.fanout, &mut self.random);
         let seed = self.random_seed();
         let lonely = receivers.len() < self.settings.fanout;
@@ -272,8 +386,9 @@
         {
             receivers.push(seed);
         }
-        for receiver in receivers {
-            self.send(receiver, own, effects);
+        for to in receivers {
+            let heartbeat = self.heartbeat_for(now, to, own);
+            effects.push(ExchangeEffect::Send { to, heartbeat });
         }
     }
 
@@ -285,34 +400,123 @@
         Some(self.seeds[index])
     }
 
-    fn send(&mut self, to: SocketAddrV4, own: Versions, effects: &mut Vec<ExchangeEffect>) {
-        let peers = self
+    fn push_heartbeats(&mut self, now: Timestamp, own: Versions) -> Vec<(SocketAddrV4, Heartbeat)> {
+        let receivers = self
             .peers
-            .sample_for(to, Heartbeat::MAXIMUM_PEERS, &mut self.random);
-        effects.push(ExchangeEffect::Send {
-            to,
-            heartbeat: Heartbeat {
-                versions: own,
-                leaving: self.leaving,
-                follows_store: self.follows_store,
-                peers,
-                suspected: self.suspected.iter().map(|cookie| cookie.bits()).collect(),
-            },
-        });
+            .sample(self.settings.push_fanout, &mut self.random);
+        let heartbeats = receivers.into_iter();
+        let heartbeats = heartbeats.map(|to| (to, self.heartbeat_for(now, to, own)));
+        heartbeats.collect()
+    }
+
+    fn heartbeat_for(&mut self, now: Timestamp, to: SocketAddrV4, own: Versions) -> Heartbeat {
+        let age = self.clock.age(now);
+        Heartbeat {
+            versions: own,
+            leaving: self.leaving,
+            confirmed_age_milliseconds: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+            claims: self.claims.claims(now),
+            peers: self
+                .peers
+                .sample_for(to, Heartbeat::MAXIMUM_PEERS, &mut self.random),
+            suspected: self.suspected.iter().map(|cookie| cookie.bits()).collect(),
+        }
+    }
+
+    fn renew_claim(&mut self, now: Timestamp) {
+        if self.store_usable && !self.leaving {
+            self.claims.note(self.own_address, now);
+        }
+        self.trim_claims(now);
+    }
+
+    fn note_claims(&mut self, now: Timestamp, claims: &[WatcherClaim]) {
+        for claim in claims {
+            let age = Duration::from_millis(u64::from(claim.age_milliseconds));
+            if claim.address != self.own_address && age < CLAIM_LIFETIME {
+                self.claims.note(claim.address, now.before(age));
+            }
+        }
+        self.trim_claims(now);
+    }
+
+    fn trim_claims(&mut self, now: Timestamp) {
+        self.claims.trim(now);
+        if !self.claims.holds(self.own_address) {
+            self.claimed_since = None;
+        } else {
+            self.claimed_since.get_or_insert(now);
+        }
+    }
+
+    fn withdraw_claim(&mut self) {
+        self.claims.withdraw(self.own_address);
+        self.claimed_since = None;
+    }
+
+    /// A peer that this node isn't behind was confirmed so long ago: so is this node.
+    fn hear_confirmation(
+        &mut self,
+        now: Timestamp,
+        age_milliseconds: Option<u32>,
+        own: Versions,
+        effects: &mut Vec<ExchangeEffect>,
+    ) {
+        let Some(age) = age_milliseconds else {
+            return;
+        };
+        if now < self.distrust_until {
+            return;
+        }
+        let age = Duration::from_millis(u64::from(age));
+        self.clock.confirm_all(now.before(age));
+        self.push_confirmation(now, own, effects);
+    }
+
+    /// Pushes the newest confirmation on, unless one about as new was pushed before.
+    fn push_confirmation(
+        &mut self,
+        now: Timestamp,
+        own: Versions,
+        effects: &mut Vec<ExchangeEffect>,
+    ) {
+        let Some(age) = self.clock.age(now) else {
+            return;
+        };
+        let confirmed_at = now.before(age);
+        if confirmed_at < self.told_confirmation.after(CONFIRMATION_STEP) {
+            return;
+        }
+        self.told_confirmation = confirmed_at;
+        effects.extend(self.announce(now, own));
     }
 
     /// A node that is behind, or that doesn't know anybody, is answered; but not too often.
-    fn deserves_reply(
+    fn reply(
         &mut self,
         now: Timestamp,
-        from: SocketAddrV4,
+        to: SocketAddrV4,
         heartbeat: &Heartbeat,
         own: Versions,
-    ) -> bool {
-        let sender_is_behind = heartbeat.versions.configuration < own.configuration
-            || heartbeat.versions.directory_changed_at < own.directory_changed_at;
+        effects: &mut Vec<ExchangeEffect>,
+    ) {
+        let known = heartbeat.versions;
+        let sender_is_behind = known.configuration < own.configuration
+            || known.directory_as_of < own.directory_changed_at;
         let sender_is_lonely = heartbeat.peers.len() < self.settings.fanout;
-        (sender_is_behind || sender_is_lonely) && self.peers.may_reply(now, from)
+        if !(sender_is_behind || sender_is_lonely) || !self.peers.may_reply(now, to) {
+            return;
+        }
+        let heartbeat = self.heartbeat_for(now, to, own);
+        effects.push(if sender_is_behind {
+            ExchangeEffect::SendDelta {
+                to,
+                known,
+                heartbeat,
+            }
+        } else {
+            ExchangeEffect::Send { to, heartbeat }
+        });
     }
 
     fn fetch_if_behind(
@@ -322,22 +526,25 @@
         behind: &impl Fn(Versions) -> bool,
         effects: &mut Vec<ExchangeEffect>,
     ) {
-        let Some(from) = self.peers.newest(behind, &mut self.random) else {
+        let mut source = self.peers.newest(behind, &mut self.random);
+        if source.is_none() {
             self.behind_since = None;
+            if self.introductions > 0 {
+                source = self.peers.sample_heard(&mut self.random);
+            }
+        } else {
+            self.behind_since.get_or_insert(now);
+        }
+        let Some(from) = source else {
             return;
         };
-        let since = *self.behind_since.get_or_insert(now);
-        let patience_over = own.is_empty() || now.since(since) >= self.settings.patience;
+        let patience_over = own.is_empty()
+            || self
+                .behind_since
+                .is_none_or(|since| now.since(since) >= self.settings.patience);
         if patience_over && now >= self.next_fetch {
             self.next_fetch = now.after(self.settings.fetch_interval);
             effects.push(ExchangeEffect::Fetch { from });
         }
     }
 }
-
-fn reader_rank(address: SocketAddrV4) -> u64 {
-    let mut bytes = [0; 6];
-    bytes[..4].copy_from_slice(&address.ip().octets());
-    bytes[4..].copy_from_slice(&address.port().to_be_bytes());
-    XxHash3_64::oneshot_with_seed(READER_SEED, &bytes)
-}
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -12,7 +12,7 @@
 
 /// Most peers remembered. A sample is enough, so that the state of a node stays the same in a
 /// cluster of any size.
-const MAXIMUM_PEERS: usize = 64;
+const MAXIMUM_PEERS: usize = 256;
 
 /// Shortest time between two replies to one peer.
 const REPLY_INTERVAL: Duration = Duration::from_millis(200);
@@ -26,8 +26,6 @@
     pub heard: bool,
     /// How much it knows.
     pub versions: Versions,
-    /// Whether the store answers it.
-    pub follows_store: bool,
     /// Instances that don't complete its openings.
     pub suspected: Vec<Cookie>,
     replied_at: Option<Timestamp>,
@@ -53,20 +51,18 @@
         from: SocketAddrV4,
         heartbeat: &Heartbeat,
     ) -> bool {
-        if !self.records.contains_key(&from) && !self.make_room() {
-            return false;
+        if !self.records.contains_key(&from) {
+            self.make_room();
         }
         let record = self.records.entry(from).or_insert(PeerRecord {
             noted_at: now,
             heard: false,
             versions: heartbeat.versions,
-            follows_store: false,
             suspected: Vec::new(),
             replied_at: None,
         });
         record.noted_at = now;
         record.versions = heartbeat.versions;
-        record.follows_store = heartbeat.follows_store;
         let suspected = heartbeat.suspected.iter();
         record.suspected = suspected
             .filter_map(|bits| Cookie::from_bits(*bits))
@@ -83,7 +79,6 @@
             noted_at: now,
             heard: false,
             versions: Versions::default(),
-            follows_store: false,
             suspected: Vec::new(),
             replied_at: None,
         });
@@ -108,11 +103,17 @@
         lost
     }
 
-    /// Addresses of the peers that the store answers.
-    pub(super) fn followers(&self) -> impl Iterator<Item = SocketAddrV4> {
-        let following = self.records.iter();
-        let following = following.filter(|(_, record)| record.heard && record.follows_store);
-        following.map(|(address, _)| *address)
+    /// Notes how much a known peer knows now.
+    pub(super) fn note_versions(&mut self, address: SocketAddrV4, versions: Versions) {
+        if let Some(record) = self.records.get_mut(&address) {
+            record.versions = versions;
+        }
+    }
+
+    /// A peer that is alive.
+    pub(super) fn sample_heard(&self, random: &mut impl Rng) -> Option<SocketAddrV4> {
+        let heard = self.records.iter().filter(|(_, record)| record.heard);
+        heard.map(|(address, _)| *address).choose(random)
     }
 
     /// Instances that at least `witnesses` peers suspect; all peers, if there are fewer.
@@ -177,17 +178,18 @@
         }
     }
 
-    /// Makes room for a peer that spoke: one that was only suggested goes first. Returns
-    /// whether there is room.
-    fn make_room(&mut self) -> bool {
+    /// Makes room for a peer that spoke: one that was only suggested goes first, then the one
+    /// that was silent for longest. Whoever speaks must be known, or it is never answered.
+    fn make_room(&mut self) {
         if self.records.len() < MAXIMUM_PEERS {
-            return true;
+            return;
+        }
+        let first_to_go = self
+            .records
+            .iter()
+            .min_by_key(|(_, record)| (record.heard, record.noted_at));
+        if let Some(address) = first_to_go.map(|(address, _)| *address) {
+            self.records.remove(&address);
         }
-        let suggested = self.records.iter().find(|(_, record)| !record.heard);
-        let Some(address) = suggested.map(|(address, _)| *address) else {
-            return false;
-        };
-        self.records.remove(&address);
-        true
     }
 }
--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -2,9 +2,9 @@
 //!
 //! The follower says what to ask and takes the answers; the host speaks the store's protocol.
 //! Reads that may be answered from an older state (*stale*) are cheap and don't count towards
-//! the store's rate: most nodes watch by them, and a list is repeated as one after the store has
-//! refused a dear one. Order is kept by revisions, so an old answer never undoes a newer one.
-//! A few nodes, the *readers*, watch for the newest state and tell the others of it.
+//! the store's rate: lists are read so, and watches of all nodes but one. Order is kept by
+//! revisions, so an old answer never undoes a newer one. Few nodes watch all the time
+//! ([`crate::cookie::exchange::StoreDuty`]); the others rest while these tell them enough.
 
 use crate::cookie::revision::Revision;
 use crate::time::Timestamp;
@@ -20,6 +20,10 @@
     /// The same for a reader's watch, which is dearer. It may not be much longer: a reader whose
     /// connection went mute is as blind as any other node.
     pub reader_watch_wait: Duration,
+    /// Pause of a stale watch after changes, so that those that come together cost one call.
+    pub pause: Duration,
+    /// The same for a reader's watch.
+    pub reader_pause: Duration,
     /// Pause after the first failure; doubles with each further one.
     pub backoff_first: Duration,
     /// Longest pause.
@@ -29,8 +33,10 @@
 impl Default for FollowerSettings {
     fn default() -> Self {
         Self {
-            watch_wait: Duration::from_millis(2_000),
+            watch_wait: Duration::from_millis(750),
             reader_watch_wait: Duration::from_millis(3_000),
+            pause: Duration::from_millis(50),
+            reader_pause: Duration::from_millis(1_000),
             backoff_first: Duration::from_millis(100),
             backoff_longest: Duration::from_millis(1_000),
         }
@@ -46,6 +52,15 @@
     MayBeStale,
 }
 
+/// How a follower that has a list goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchPlan {
+    /// It watches.
+    Watch(Freshness),
+    /// It asks nothing until then.
+    RestUntil(Timestamp),
+}
+
 /// A call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Read {
@@ -126,7 +141,7 @@
 #[derive(Debug)]
 enum Phase<Item> {
     Listing {
-        first_at: Option<Revision>,
+        oldest_at: Option<Revision>,
         items: Vec<Item>,
         after: Option<String>,
         freshness: Freshness,
@@ -139,7 +154,7 @@
 impl<Item> Phase<Item> {
     const fn list(freshness: Freshness) -> Self {
         Self::Listing {
-            first_at: None,
+            oldest_at: None,
             items: Vec::new(),
             after: None,
             freshness,
@@ -154,6 +169,8 @@
     phase: Phase<Item>,
     failures: u32,
     not_before: Timestamp,
+    /// When a watch last brought changes.
+    changed_at: Option<Timestamp>,
 }
 
 impl<Item> Follower<Item> {
@@ -162,40 +179,42 @@
     pub const fn new(settings: FollowerSettings) -> Self {
         Self {
             settings,
-            phase: Phase::list(Freshness::Newest),
+            phase: Phase::list(Freshness::MayBeStale),
             failures: 0,
             not_before: Timestamp::ZERO,
+            changed_at: None,
         }
     }
 
-    /// What to do now. `freshness` is how new watches must be.
+    /// What to do now. `plan` is how it goes on once it has a list.
     #[must_use]
-    pub fn next(&self, now: Timestamp, freshness: Freshness) -> Next {
+    pub fn next(&self, now: Timestamp, plan: WatchPlan) -> Next {
         if now < self.not_before {
             return Next::WaitUntil(self.not_before);
         }
-        Next::Call(match &self.phase {
+        match &self.phase {
             Phase::Listing {
                 after, freshness, ..
-            } => Read::List {
+            } => Next::Call(Read::List {
                 after: after.clone(),
                 freshness: *freshness,
-            },
-            Phase::Watching { from } => Read::Watch {
-                from: *from,
-                wait: match freshness {
-                    Freshness::Newest => self.settings.reader_watch_wait,
-                    Freshness::MayBeStale => self.settings.watch_wait,
-                },
-                freshness,
-            },
-        })
+            }),
+            Phase::Watching { from } => self.watch(now, *from, plan),
+        }
+    }
+
+    /// What the node has heard from elsewhere reaches up to here: the next watch goes on from
+    /// there.
+    pub fn skip_to(&mut self, at: Revision) {
+        if let Phase::Watching { from } = &mut self.phase {
+            *from = at.max(*from);
+        }
     }
 
-    /// Whether it follows changes: it has a whole list, and the last call was answered.
+    /// Whether the last call was answered, or none was made yet.
     #[must_use]
-    pub const fn is_following(&self) -> bool {
-        self.failures == 0 && matches!(self.phase, Phase::Watching { .. })
+    pub const fn is_usable(&self) -> bool {
+        self.failures == 0
     }
 
     /// Takes the answer to the last call. Returns news, if it is any.
@@ -216,6 +235,9 @@
             }
             Answer::Changes { events, at } => {
                 self.failures = 0;
+                if !events.is_empty() {
+                    self.changed_at = Some(now);
+                }
                 self.changes(events, at)
             }
             Answer::HistoryGone => {
@@ -236,6 +258,27 @@
         }
     }
 
+    fn watch(&self, now: Timestamp, from: Revision, plan: WatchPlan) -> Next {
+        let freshness = match plan {
+            WatchPlan::Watch(freshness) => freshness,
+            WatchPlan::RestUntil(time) if now < time => return Next::WaitUntil(time),
+            WatchPlan::RestUntil(_) => Freshness::MayBeStale,
+        };
+        let (wait, pause) = match freshness {
+            Freshness::Newest => (self.settings.reader_watch_wait, self.settings.reader_pause),
+            Freshness::MayBeStale => (self.settings.watch_wait, self.settings.pause),
+        };
+        let pause_ends = self.changed_at.map(|changed_at| changed_at.after(pause));
+        if let Some(pause_ends) = pause_ends.filter(|pause_ends| now < *pause_ends) {
+            return Next::WaitUntil(pause_ends);
+        }
+        Next::Call(Read::Watch {
+            from,
+            wait,
+            freshness,
+        })
+    }
+
     fn page<Event>(
         &mut self,
         page: Vec<Item>,
@@ -243,7 +286,7 @@
         at: Revision,
     ) -> Option<Update<Item, Event>> {
         let Phase::Listing {
-            first_at,
+            oldest_at,
             items,
             after,
             ..
@@ -251,9 +294,10 @@
         else {
             return None;
         };
-        // The list is true at the revision of its first page: the watch from there tells what
-        // changed while the other pages were read.
-        let list_at = *first_at.get_or_insert(at);
+        // The list is true at the revision of its oldest page, mostly the first: the watch from
+        // there tells what changed until the other pages were read.
+        let list_at = oldest_at.map_or(at, |oldest| oldest.min(at));
+        *oldest_at = Some(list_at);
         items.extend(page);
         if next_after.is_some() {
             *after = next_after;
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -12,13 +12,17 @@
 //! * one packet: [`packet`] and [`forwarder`], with [`placement`] of new flows and [`health`] of
 //!   instances from the progress of openings;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
-//! * the process: [`directory`] and [`replica`] (what the node knows, and how old it is),
-//!   [`follower`] (reading the store), [`exchange`] (peers), [`stall`] and [`readiness`].
+//! * the process: [`directory`] and [`replica`] (what the node knows),
+//!   [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
+//!   [`exchange`] (peers), [`coordinator`] (these together), [`stall`] and [`readiness`].
 
+pub mod coordinator;
+pub mod delta;
 pub mod directory;
 pub mod exchange;
 pub mod follower;
 pub mod forwarder;
+pub mod freshness;
 pub mod health;
 pub mod instance;
 pub mod packet;
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -3,6 +3,7 @@
 //! News come from the store and from peers. The newer revision wins, whoever brings it; within
 //! the life of a process nothing ever goes back.
 
+use crate::cookie::delta::{ConfigurationDelta, DirectoryDelta, StateDelta};
 use crate::cookie::directory::{Directory, Tombstone};
 use crate::cookie::instance::{InstanceEvent, InstanceRecord};
 use crate::cookie::revision::Revision;
@@ -10,8 +11,15 @@
 use crate::cookie::table::ForwardingTable;
 use crate::time::Timestamp;
 use rkyv::{Archive, Deserialize, Serialize};
+use std::collections::VecDeque;
 use std::time::Duration;
 
+/// Changes of the configuration that are kept for peers that missed one.
+const RECENT_CONFIGURATIONS: usize = 8;
+
+/// Most routes of a change that is kept; larger ones don't fit a datagram anyway.
+const LONGEST_CONFIGURATION_DELTA: usize = 16;
+
 /// Who brought a piece of news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -41,13 +49,24 @@
     pub records: Vec<InstanceRecord>,
 }
 
-/// Everything that a node knows, for a peer that knows less.
+/// The instances for a peer that knows less.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub enum DirectoryPart {
+    /// All of them.
+    Whole(DirectorySnapshot),
+    /// What has changed since the revision that the peer named.
+    Changes(DirectoryDelta),
+}
+
+/// Everything that a node knows and a peer doesn't.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The configuration.
+    /// The sender's versions.
+    pub versions: Versions,
+    /// The configuration, if the peer's is older.
     pub configuration: Option<Configuration>,
-    /// The present instances.
-    pub directory: Option<DirectorySnapshot>,
+    /// The present instances, if the peer's knowledge of them is older.
+    pub directory: Option<DirectoryPart>,
     /// The gone instances.
     pub tombstones: Vec<Tombstone>,
 }
@@ -57,8 +76,12 @@
 pub struct Versions {
     /// Revision of the configuration; zero if there is none.
     pub configuration: Revision,
+    /// Revision up to which there is no newer configuration.
+    pub configuration_as_of: Revision,
     /// Revision of the last change of the instances; zero if they are not known.
     pub directory_changed_at: Revision,
+    /// Revision up to which all changes of the instances are known.
+    pub directory_as_of: Revision,
 }
 
 impl Versions {
@@ -91,6 +114,10 @@
 #[derive(Debug)]
 pub struct Replica {
     configuration: Option<Configuration>,
+    configuration_as_of: Revision,
+    /// The last changes of the configuration, each of which applies to the result of the one
+    /// before.
+    recent_configurations: VecDeque<ConfigurationDelta>,
     directory: Directory,
 }
 
@@ -100,6 +127,8 @@
     pub const fn new(tombstone_lifetime: Duration) -> Self {
         Self {
             configuration: None,
+            configuration_as_of: Revision(0),
+            recent_configurations: VecDeque::new(),
             directory: Directory::new(tombstone_lifetime),
         }
     }
@@ -121,7 +150,9 @@
     pub fn versions(&self) -> Versions {
         Versions {
             configuration: self.configuration_revision(),
+            configuration_as_of: self.configuration_as_of,
             directory_changed_at: self.directory.changed_at(),
+            directory_as_of: self.directory.as_of().unwrap_or_default(),
         }
     }
 
@@ -141,10 +172,55 @@
         if held.is_some_and(|held| configuration.revision <= held.revision) {
             return false;
         }
+        let delta = held.and_then(|held| ConfigurationDelta::between(held, &configuration));
+        self.remember_configuration_delta(delta);
+        self.configuration_as_of = configuration.revision.max(self.configuration_as_of);
         self.configuration = Some(configuration);
         true
     }
 
+    /// The store's word that there is no newer configuration up to a revision.
+    pub fn confirm_configuration(&mut self, as_of: Revision) {
+        self.configuration_as_of = as_of.max(self.configuration_as_of);
+    }
+
+    /// A peer's word on how new its state is. A node that isn't behind it knows as much.
+    pub fn confirm(&mut self, versions: Versions) {
+        if versions.configuration <= self.configuration_revision() {
+            self.confirm_configuration(versions.configuration_as_of);
+        }
+        self.directory
+            .confirm(versions.directory_changed_at, versions.directory_as_of);
+    }
+
+    /// What a peer with `versions` lacks; none if it lacks nothing, or more than a delta tells.
+    #[must_use]
+    pub fn delta_for(&self, now: Timestamp, versions: Versions) -> Option<StateDelta> {
+        let delta = StateDelta {
+            configuration: self.configuration_deltas_since(versions.configuration),
+            directory: (self.directory.changed_at() > versions.directory_as_of)
+                .then(|| self.directory.delta_since(now, versions.directory_as_of))
+                .flatten(),
+        };
+        (!delta.is_empty()).then_some(delta)
+    }
+
+    /// Takes over what of a peer's delta applies to this node's state.
+    pub fn merge_delta(&mut self, now: Timestamp, delta: StateDelta) -> StateChange {
+        let mut change = StateChange::default();
+        for step in &delta.configuration {
+            let next = self.configuration.as_ref();
+            let next = next.and_then(|held| step.apply(held));
+            if let Some(next) = next {
+                change.configuration |= self.adopt_configuration(next);
+            }
+        }
+        if let Some(delta) = delta.directory {
+            change.directory = self.directory.apply_delta(now, delta);
+        }
+        change
+    }
+
     /// Takes over a whole list of instances. Returns whether anything changed.
     pub fn replace_instances(
         &mut self,
@@ -171,18 +247,20 @@
         if let Some(configuration) = snapshot.configuration {
             change.configuration = self.adopt_configuration(configuration);
         }
-        if let Some(directory) = snapshot.directory {
-            let newer = self
-                .directory
-                .as_of()
-                .is_none_or(|known| directory.as_of > known);
-            if newer {
-                change.directory = self
-                    .directory
-                    .replace(now, directory.as_of, directory.records);
+        match snapshot.directory {
+            None => {}
+            Some(DirectoryPart::Changes(delta)) => {
+                change.directory = self.directory.apply_delta(now, delta);
+            }
+            Some(DirectoryPart::Whole(whole)) => {
+                let known = self.directory.as_of();
+                if known.is_none_or(|known| whole.as_of > known) {
+                    change.directory = self.directory.replace(now, whole.as_of, whole.records);
+                }
             }
         }
         change.directory |= self.directory.learn_tombstones(now, snapshot.tombstones);
+        self.confirm(snapshot.versions);
         change
     }
 
@@ -194,13 +272,19 @@
     /// All that this node knows.
     #[must_use]
     pub fn snapshot(&self, now: Timestamp) -> Snapshot {
-        let directory = self.directory.as_of().map(|as_of| DirectorySnapshot {
-            as_of,
-            records: self.directory.records(now),
-        });
+        self.snapshot_for(now, Versions::default())
+    }
+
+    /// All that this node knows and a peer with `versions` doesn't, and all gone instances.
+    #[must_use]
+    pub fn snapshot_for(&self, now: Timestamp, versions: Versions) -> Snapshot {
+        let held = self.configuration.as_ref();
         Snapshot {
-            configuration: self.configuration.clone(),
-            directory,
+            versions: self.versions(),
+            configuration: held
+                .filter(|held| held.revision > versions.configuration)
+                .cloned(),
+            directory: self.directory_part(now, versions.directory_as_of),
             tombstones: self.directory.tombstones(now),
         }
     }
@@ -216,4 +300,38 @@
             .as_ref()
             .map_or_else(Revision::default, |held| held.revision)
     }
+
+    fn directory_part(&self, now: Timestamp, since: Revision) -> Option<DirectoryPart> {
+        let as_of = self.directory.as_of()?;
+        if since >= as_of {
+            return None;
+        }
+        if let Some(delta) = self.directory.delta_since(now, since) {
+            return Some(DirectoryPart::Changes(delta));
+        }
+        Some(DirectoryPart::Whole(DirectorySnapshot {
+            as_of,
+            records: self.directory.records(now),
+        }))
+    }
+
+    /// The changes that lead from the configuration of a revision to the one in force; none if
+    /// one of them is not known any more.
+    fn configuration_deltas_since(&self, since: Revision) -> Vec<ConfigurationDelta> {
+        let recent = self.recent_configurations.iter();
+        let steps = recent.skip_while(|delta| delta.since != since);
+        steps.cloned().collect()
+    }
+
+    fn remember_configuration_delta(&mut self, delta: Option<ConfigurationDelta>) {
+        let Some(delta) = delta.filter(|delta| delta.put.len() <= LONGEST_CONFIGURATION_DELTA)
+        else {
+            self.recent_configurations.clear();
+            return;
+        };
+        if self.recent_configurations.len() >= RECENT_CONFIGURATIONS {
+            self.recent_configurations.pop_front();
+        }
+        self.recent_configurations.push_back(delta);
+    }
 }
--- a/crates/bellyoke-core/src/cookie/stall.rs
+++ b/crates/bellyoke-core/src/cookie/stall.rs
@@ -19,6 +19,19 @@
 }
 
 impl StallDetector {
+    /// A thread that has not ticked yet.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { last: None }
+    }
+
+    /// Whether a tick is missing: the process stood still until just now.
+    #[must_use]
+    pub fn is_overdue(&self, now: Timestamp) -> bool {
+        self.last
+            .is_some_and(|last| now.since(last) > STALL_THRESHOLD)
+    }
+
     /// A tick. Returns how long the process stood still, if it did.
     pub fn tick(&mut self, now: Timestamp) -> Option<Duration> {
         let last = self.last.replace(now)?;
--- a/crates/bellyoke-core/tests/cookie/replica.rs
+++ b/crates/bellyoke-core/tests/cookie/replica.rs
@@ -1,7 +1,8 @@
 //! Store and peers may tell in any order.
 
 use crate::support::{TOMBSTONE_LIFETIME, at, configuration, draining, node, record};
-use bellyoke_core::cookie::replica::{Replica, Snapshot};
+use bellyoke_core::cookie::instance::InstanceEvent;
+use bellyoke_core::cookie::replica::{DirectoryPart, Replica, Snapshot};
 use bellyoke_core::cookie::revision::Revision;
 use proptest::prelude::*;
 
@@ -20,6 +21,74 @@
     assert_eq!(newborn.snapshot(at(900_000)).tombstones.len(), 1);
 }
 
+#[test]
+fn a_peer_is_sent_only_what_it_lacks() {
+    let mut ahead = node(vec![record(1, 1), record(2, 2)]);
+    let known = node(vec![record(1, 1), record(2, 2)]).versions();
+    ahead.apply_instances(at(5), Revision(20), vec![InstanceEvent::Put(record(3, 20))]);
+    let snapshot = ahead.snapshot_for(at(5), known);
+    assert_eq!(snapshot.configuration, None);
+    let Some(DirectoryPart::Changes(delta)) = snapshot.directory else {
+        panic!("{:?}", snapshot.directory);
+    };
+    assert_eq!(delta.records, [record(3, 20)]);
+    let nothing = ahead.snapshot_for(at(5), ahead.versions());
+    assert_eq!((nothing.configuration, nothing.directory), (None, None));
+}
+
+#[test]
+fn configurations_reach_a_peer_step_by_step() {
+    let mut ahead = node(Vec::new());
+    let mut behind = node(Vec::new());
+    for revision in 2..6 {
+        let before = ahead.versions();
+        assert!(ahead.adopt_configuration(configuration(revision, &[("till", 1)])));
+        if revision == 3 {
+            continue;
+        }
+        let known = if revision == 4 {
+            behind.versions()
+        } else {
+            before
+        };
+        let delta = ahead.delta_for(at(0), known).unwrap();
+        assert!(behind.merge_delta(at(0), delta).configuration, "{revision}");
+        assert_eq!(behind.configuration(), ahead.configuration());
+    }
+}
+
+#[test]
+fn a_change_of_another_configuration_is_left_alone() {
+    let mut ahead = node(Vec::new());
+    ahead.adopt_configuration(configuration(3, &[("till", 1)]));
+    let before = ahead.versions();
+    ahead.adopt_configuration(configuration(4, &[("listings", 1)]));
+    let delta = ahead.delta_for(at(0), before).unwrap();
+    let mut behind = node(Vec::new());
+    assert!(!behind.merge_delta(at(0), delta).any());
+    assert_eq!(
+        behind.configuration(),
+        Some(&configuration(1, &[("till", 1)]))
+    );
+    assert!(
+        ahead.delta_for(at(0), behind.versions()).is_some(),
+        "two steps lead there"
+    );
+}
+
+#[test]
+fn who_is_not_behind_a_peer_knows_as_far_as_it_does() {
+    let mut replica = node(vec![record(1, 1)]);
+    let mut peer = node(vec![record(1, 1)]);
+    peer.apply_instances(at(0), Revision(15), Vec::new());
+    peer.confirm_configuration(Revision(17));
+    replica.confirm(peer.versions());
+    assert_eq!(replica.versions(), peer.versions());
+    peer.adopt_configuration(configuration(20, &[]));
+    replica.confirm(peer.versions());
+    assert_eq!(replica.versions().configuration_as_of, Revision(17));
+}
+
 #[test]
 fn a_peer_that_knows_less_takes_nothing_back() {
     let mut replica = node(vec![draining(1, 9)]);
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -33,8 +33,10 @@
     NoHearsay,
     /// All nodes watch by stale reads.
     NoReader,
-    /// A refused list is repeated as it was.
+    /// Lists are read as the newest state.
     NoStaleLists,
+    /// A node that was told once that its state is the newest never asks again.
+    RestForever,
 }
 
 /// Something that happens. Nodes and targets are numbered from zero.
@@ -100,6 +102,14 @@
         /// After how long it starts.
         down: Duration,
     },
+    /// The nodes that watch the store for all are killed at once and start again.
+    KillWatchers {
+        /// After how long they start.
+        down: Duration,
+    },
+    /// The node that watches the newest state and its backups lose the store, or it refuses them,
+    /// while it answers the others. It lasts.
+    CutWatchers,
     /// A node is asked to stop, and starts again half a second after it has.
     Terminate {
         /// The node.
--- a/crates/bellyoke-lab/src/cookie/world/actions.rs
+++ b/crates/bellyoke-lab/src/cookie/world/actions.rs
@@ -42,11 +42,32 @@
             }
             Action::Freeze { node, lasting } => self.freeze(node, lasting),
             Action::Kill { node, down } => self.kill(node, down),
+            Action::KillWatchers { down } => {
+                for node in self.watchers() {
+                    self.kill(node, down);
+                }
+            }
+            Action::CutWatchers => {
+                for node in self.watchers() {
+                    self.machines[node].cut_from_store = true;
+                    self.machines[node].disturbed_at = self.now;
+                }
+            }
             Action::Terminate { node } => self.terminate(node),
             Action::KillAll { down } => self.kill_all(down),
         }
     }
 
+    /// The nodes that watch the store for all.
+    fn watchers(&self) -> Vec<usize> {
+        let nodes = 0..self.machines.len();
+        let watches = |node: &usize| {
+            let process = self.machines[*node].running();
+            process.is_some_and(|process| process.watches(self.now))
+        };
+        nodes.filter(watches).collect()
+    }
+
     pub(super) fn configure(&mut self, probe: Option<usize>) {
         self.version += 1;
         let services = self.scenario.targets.len();
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -7,7 +7,7 @@
 use crate::cookie::scenario::service_name;
 use crate::cookie::store::{Store, StoreAnswer, StoreMode};
 use crate::cookie::target::{Target, TargetOutput, TargetSettings};
-use bellyoke_core::cookie::exchange::Heartbeat;
+use bellyoke_core::cookie::exchange::PeerDatagram;
 use bellyoke_core::cookie::follower::Read;
 use bellyoke_core::cookie::instance::{InstanceId, InstanceRecord};
 use bellyoke_core::cookie::replica::Snapshot;
@@ -162,9 +162,9 @@
         }
     }
 
-    pub(super) fn heartbeat(&mut self, from: usize, to: usize, heartbeat: &Heartbeat) {
+    pub(super) fn datagram(&mut self, from: usize, to: usize, datagram: PeerDatagram) {
         if let MachineState::Running(process) = &mut self.machines[to].state {
-            let effects = process.heartbeat(self.now, peer_address(from), heartbeat);
+            let effects = process.datagram(self.now, peer_address(from), datagram);
             self.effects(to, effects);
         }
     }
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -456,6 +456,59 @@
     );
 }
 
+/// Who watches the store for all is gone, or hears nothing any more, and then the configuration
+/// and the instances change.
+fn change_without_watchers(harm: Action) -> Scenario {
+    let scenario = Scenario {
+        nodes: 12,
+        length: Duration::from_secs(24),
+        ..calm()
+    };
+    scenario
+        .at(8_000, harm)
+        .at(8_100, Action::Configure { probe: Some(1) })
+        .at(
+            8_200,
+            Action::Drain {
+                target: 0,
+                serves_for: ms(9_000),
+            },
+        )
+        .at(14_000, Action::Configure { probe: None })
+}
+
+#[test]
+fn changes_are_in_force_in_time_though_all_watchers_die() {
+    let scenario = change_without_watchers(Action::KillWatchers { down: ms(3_000) });
+    holds(&scenario, 0.9);
+    needs(&scenario, Ablation::RestForever, Rule::Configuration);
+    needs(&scenario, Ablation::RestForever, Rule::Drain);
+}
+
+#[test]
+fn changes_are_in_force_in_time_though_all_watchers_lose_the_store() {
+    let scenario = change_without_watchers(Action::CutWatchers);
+    holds(&scenario, 1.0);
+    needs(&scenario, Ablation::RestForever, Rule::Configuration);
+}
+
+/// The store bears few readers: what it is asked must not grow with the nodes, but for the two
+/// lists with which each starts.
+#[test]
+fn calls_to_the_store_do_not_grow_with_the_nodes() {
+    let calls = |nodes: usize| {
+        let scenario = Scenario {
+            nodes,
+            ..release_and_roll()
+        };
+        let report = play(scenario, 1);
+        assert_eq!(report.violations, []);
+        report.store_calls - 2 * nodes as u64
+    };
+    let (few, many) = (calls(10), calls(40));
+    assert!(many < few * 2, "{few} calls with 10 nodes, {many} with 40");
+}
+
 #[test]
 fn lossy_links_break_nothing() {
     let scenario = Scenario {
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -1,51 +1,64 @@
 //! Runs a follower against the store.
 
+use super::peers::PeerLink;
 use super::store::StoreReader;
-use crate::process::control::{Control, ObjectKind};
+use crate::process::control::Control;
 use crate::process::metrics::{ControlMetrics, StoreCallLabels};
+use bellyoke_core::cookie::exchange::ExchangeEffect;
 use bellyoke_core::cookie::follower::{
     Answer, Follower, FollowerSettings, Freshness, Next, Read, Update,
 };
-use std::cell::RefCell;
-use std::rc::Rc;
+use bellyoke_core::cookie::freshness::ObjectKind;
+use bellyoke_core::time::Timestamp;
 use std::time::Duration;
 
+/// Longest rest before the node looks again whether it has to ask the store.
+const LONGEST_REST: Duration = Duration::from_millis(200);
+
 /// Follows one kind of object for the life of the process, and hands news to `apply`.
 pub async fn follow<Reader: StoreReader>(
-    control: Rc<RefCell<Control>>,
+    link: PeerLink,
     kind: ObjectKind,
     mut reader: Reader,
     settings: FollowerSettings,
-    mut apply: impl FnMut(&mut Control, Update<Reader::Item, Reader::Event>),
+    mut apply: impl FnMut(&mut Control, Update<Reader::Item, Reader::Event>) -> Vec<ExchangeEffect>,
 ) {
-    let clock = control.borrow().clock();
+    let clock = link.control.borrow().clock();
     let mut follower = Follower::new(settings);
-    let mut following = false;
+    let mut usable = true;
     loop {
-        let freshness = control.borrow().watch_freshness();
-        let read = match follower.next(clock.now(), freshness) {
+        let next = {
+            let control = link.control.borrow();
+            follower.skip_to(control.known_up_to(kind));
+            follower.next(clock.now(), control.watch_plan(kind))
+        };
+        let read = match next {
             Next::WaitUntil(time) => {
-                tokio::time::sleep_until(clock.instant(time).into()).await;
+                tokio::time::sleep(rest(clock.now(), time)).await;
                 continue;
             }
             Next::Call(read) => read,
         };
         let asked_at = clock.now();
         let answer = reader.read(&read).await;
-        let mut control = control.borrow_mut();
         let took = clock.now().since(asked_at);
+        let mut control = link.control.borrow_mut();
         count(control.metrics(), kind, &read, &answer, took);
         let update = follower.answer(clock.now(), answer, control.random());
-        if follower.is_following() != following {
-            following = !following;
-            control.note_store(kind, following);
-        }
-        if let Some(update) = update {
-            apply(&mut control, update);
+        if follower.is_usable() != usable {
+            usable = !usable;
+            control.note_store(kind, usable);
         }
+        let effects = update.map(|update| apply(&mut control, update));
+        drop(control);
+        link.perform(effects.unwrap_or_default());
     }
 }
 
+fn rest(now: Timestamp, until: Timestamp) -> Duration {
+    until.since(now).min(LONGEST_REST)
+}
+
 fn count<Item, Event>(
     metrics: &ControlMetrics,
     kind: ObjectKind,
--- a/crates/bellyoke-node/src/connection/peers.rs
+++ b/crates/bellyoke-node/src/connection/peers.rs
@@ -3,10 +3,10 @@
 use crate::process::control::Control;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::exchange::{
-    DecodeError, ExchangeEffect, Heartbeat, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH,
-    PeerKey, decode_snapshot, encode_snapshot,
+    DecodeError, EncodeError, ExchangeEffect, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
+    MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerKey, decode_snapshot, encode_snapshot,
 };
-use bellyoke_core::cookie::replica::Snapshot;
+use bellyoke_core::cookie::replica::{Snapshot, Versions};
 use bellyoke_process::log::log_event;
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -36,63 +36,94 @@
     Connection(#[from] std::io::Error),
     #[error("{0}")]
     Decode(#[from] DecodeError),
+    #[error("{0}")]
+    Encode(#[from] EncodeError),
+}
+
+/// The node's way to its peers.
+#[derive(Clone)]
+pub struct PeerLink {
+    /// The node's state.
+    pub control: Rc<RefCell<Control>>,
+    /// The socket of heartbeats and deltas.
+    pub socket: Arc<UdpSocket>,
 }
 
-/// Hands heartbeats to the control state for the life of the process.
-pub async fn receive_heartbeats(control: Rc<RefCell<Control>>, socket: Arc<UdpSocket>) {
-    let mut buffer = [0; MAXIMUM_HEARTBEAT_LENGTH + 1];
+/// Hands datagrams to the control state for the life of the process.
+pub async fn receive_datagrams(link: PeerLink) {
+    let mut buffer = [0; MAXIMUM_DATAGRAM_LENGTH + 1];
     loop {
-        let Ok((length, SocketAddr::V4(from))) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, SocketAddr::V4(from))) = link.socket.recv_from(&mut buffer).await else {
             continue;
         };
-        let effects = control.borrow_mut().heartbeat(from, &buffer[..length]);
-        perform(&control, &socket, effects);
+        let effects = link.control.borrow_mut().datagram(from, &buffer[..length]);
+        link.perform(effects);
     }
 }
 
-/// Does what the exchange wants. What can't be sent at once is left out: heartbeats repeat.
-pub fn perform(
-    control: &Rc<RefCell<Control>>,
-    socket: &Arc<UdpSocket>,
-    effects: Vec<ExchangeEffect>,
-) {
-    for effect in effects {
-        match effect {
-            ExchangeEffect::Send { to, heartbeat } => {
-                send_heartbeat(control, socket, to, &heartbeat);
-            }
-            ExchangeEffect::Fetch { from } => {
-                tokio::task::spawn_local(fetch(Rc::clone(control), from));
-            }
-            ExchangeEffect::PeerJoined(peer) => {
-                log_event(EventCode::PeerJoined, format_args!("peer={peer}"));
-            }
-            ExchangeEffect::PeerLost(peer) => {
-                log_event(EventCode::PeerLost, format_args!("peer={peer}"));
+impl PeerLink {
+    /// Does what the exchange wants. What can't be sent at once is left out: heartbeats repeat.
+    pub fn perform(&self, effects: Vec<ExchangeEffect>) {
+        for effect in effects {
+            match effect {
+                ExchangeEffect::Send { to, heartbeat } => self.send_heartbeat(to, &heartbeat),
+                ExchangeEffect::SendDelta {
+                    to,
+                    known,
+                    heartbeat,
+                } => {
+                    if !self.send_delta(to, known) {
+                        self.send_heartbeat(to, &heartbeat);
+                    }
+                }
+                ExchangeEffect::Fetch { from } => {
+                    tokio::task::spawn_local(fetch(self.clone(), from));
+                }
+                ExchangeEffect::PeerJoined(peer) => {
+                    log_event(EventCode::PeerJoined, format_args!("peer={peer}"));
+                }
+                ExchangeEffect::PeerLost(peer) => {
+                    log_event(EventCode::PeerLost, format_args!("peer={peer}"));
+                }
             }
         }
     }
-}
 
-fn send_heartbeat(
-    control: &Rc<RefCell<Control>>,
-    socket: &UdpSocket,
-    to: SocketAddrV4,
-    heartbeat: &Heartbeat,
-) {
-    let control = control.borrow();
-    if let Ok(bytes) = heartbeat.encode(control.peer_key())
-        && socket.try_send_to(&bytes, to.into()).is_ok()
-    {
-        control.metrics().heartbeats_sent.inc();
+    fn send_heartbeat(&self, to: SocketAddrV4, heartbeat: &Heartbeat) {
+        let control = self.control.borrow();
+        if let Ok(bytes) = heartbeat.encode(control.peer_key())
+            && self.socket.try_send_to(&bytes, to.into()).is_ok()
+        {
+            control.metrics().heartbeats_sent.inc();
+        }
+    }
+
+    /// Sends what a peer lacks. Returns false if a delta can't tell it.
+    fn send_delta(&self, to: SocketAddrV4, known: Versions) -> bool {
+        let control = self.control.borrow();
+        let Some(message) = control.delta_for(known) else {
+            return false;
+        };
+        let Ok(bytes) = message.encode(control.peer_key()) else {
+            return false;
+        };
+        if self.socket.try_send_to(&bytes, to.into()).is_ok() {
+            control.metrics().deltas_sent.inc();
+        }
+        true
     }
 }
 
-async fn fetch(control: Rc<RefCell<Control>>, from: SocketAddrV4) {
+async fn fetch(link: PeerLink, from: SocketAddrV4) {
+    let control = &link.control;
     let key = control.borrow().peer_key().clone();
-    let fetched = timeout(FETCH_TIMEOUT, read_snapshot(from, &key)).await;
+    let request = control.borrow().fetch_request();
+    let fetched = timeout(FETCH_TIMEOUT, read_snapshot(from, request, &key)).await;
     match fetched.unwrap_or(Err(FetchError::TimedOut)) {
-        Ok(snapshot) => control.borrow_mut().merge(from, snapshot),
+        Ok(snapshot) => {
+            let effects = control.borrow_mut().snapshot(from, snapshot);
+            link.perform(effects);
+        }
         Err(error) => {
             log_event(
                 EventCode::SnapshotFailed,
@@ -103,15 +134,19 @@
     }
 }
 
-async fn read_snapshot(from: SocketAddrV4, key: &PeerKey) -> Result<Snapshot, FetchError> {
-    let stream = TcpStream::connect(from).await?;
-    let longest = u64::try_from(MAXIMUM_SNAPSHOT_LENGTH).unwrap_or(u64::MAX);
-    let mut bytes = Vec::new();
-    stream.take(longest + 1).read_to_end(&mut bytes).await?;
+async fn read_snapshot(
+    from: SocketAddrV4,
+    request: FetchRequest,
+    key: &PeerKey,
+) -> Result<Snapshot, FetchError> {
+    let mut stream = TcpStream::connect(from).await?;
+    stream.write_all(&request.encode(key)?).await?;
+    stream.shutdown().await?;
+    let bytes = read_at_most(stream, MAXIMUM_SNAPSHOT_LENGTH).await?;
     Ok(decode_snapshot(&bytes, key)?)
 }
 
-/// Sends a snapshot to each peer that connects, for the life of the process.
+/// Sends a snapshot to each peer that asks, for the life of the process.
 pub async fn serve_snapshots(control: Rc<RefCell<Control>>, listener: TcpListener) {
     let slots = Arc::new(Semaphore::new(MAXIMUM_SERVED));
     loop {
@@ -122,19 +157,39 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let bytes = {
-            let control = control.borrow();
-            encode_snapshot(&control.snapshot(), control.peer_key())
-        };
+        let control = Rc::clone(&control);
         tokio::task::spawn_local(async move {
-            if let Ok(bytes) = bytes {
-                let _ = timeout(SERVE_TIMEOUT, write_snapshot(stream, &bytes)).await;
-            }
+            let _ = timeout(SERVE_TIMEOUT, serve_snapshot(control, stream)).await;
             drop(slot);
         });
     }
 }
 
+async fn serve_snapshot(
+    control: Rc<RefCell<Control>>,
+    mut stream: TcpStream,
+) -> Result<(), FetchError> {
+    let asked = read_at_most(&mut stream, MAXIMUM_FETCH_LENGTH).await?;
+    let bytes = {
+        let control = control.borrow();
+        let request = FetchRequest::decode(&asked, control.peer_key())?;
+        encode_snapshot(&control.snapshot_for(request), control.peer_key())?
+    };
+    write_snapshot(stream, &bytes).await?;
+    Ok(())
+}
+
+/// All that the other side sends, or one byte more than `longest`.
+async fn read_at_most(
+    stream: impl tokio::io::AsyncRead + Unpin,
+    longest: usize,
+) -> std::io::Result<Vec<u8>> {
+    let longest = u64::try_from(longest).unwrap_or(u64::MAX);
+    let mut bytes = Vec::new();
+    stream.take(longest + 1).read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
+
 async fn write_snapshot(mut stream: TcpStream, bytes: &[u8]) -> std::io::Result<()> {
     stream.write_all(bytes).await?;
     stream.shutdown().await
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -6,15 +6,18 @@
 use super::settings::Settings;
 use super::shared::Shared;
 use bellyoke_api::event_code::EventCode;
+use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
 use bellyoke_core::cookie::exchange::{
-    Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, PeerKey,
+    DeltaMessage, Exchange, ExchangeEffect, ExchangeSettings, FetchRequest, PeerDatagram, PeerKey,
+    StoreDuty,
 };
-use bellyoke_core::cookie::follower::{Freshness, Update};
+use bellyoke_core::cookie::follower::{Update, WatchPlan};
+use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::readiness::{Lifecycle, Unready};
-use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, StateChange};
+use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, Versions};
+use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::cookie::route::Configuration;
-use bellyoke_core::cookie::stall::StallDetector;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
 use bellyoke_process::log::{LogLimiter, log_event};
@@ -31,48 +34,20 @@
 /// Lines of one event in one second.
 const LOG_ALLOWANCE: u32 = 20;
 
-/// What is read from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ObjectKind {
-    /// The instances.
-    Instances,
-    /// The configuration.
-    Configuration,
-}
-
-impl ObjectKind {
-    /// Its name in logs.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Instances => "instances",
-            Self::Configuration => "configuration",
-        }
-    }
-}
-
 /// The control thread's state.
 pub struct Control {
     clock: MonotonicClock,
     shared: Arc<Shared>,
-    replica: Replica,
-    exchange: Exchange,
+    coordinator: Coordinator,
     lifecycle: Lifecycle,
-    stall: StallDetector,
     random: ChaCha8Rng,
     peer_key: PeerKey,
     registry: Registry,
     metrics: ControlMetrics,
     limiter: LogLimiter,
-    /// Heartbeats about changes, for the next tick.
-    announcements: Vec<ExchangeEffect>,
     told_suspected: Arc<Vec<Cookie>>,
     was_ready: bool,
-    was_reader: bool,
-    /// By [`ObjectKind`]: whether the store answers.
-    follows: [bool; 2],
-    instances_told_at: Timestamp,
-    configuration_told_at: Timestamp,
+    last_duty: StoreDuty,
 }
 
 impl Control {
@@ -80,30 +55,31 @@
     #[must_use]
     pub fn new(settings: &Settings, shared: Arc<Shared>, mut registry: Registry) -> Self {
         let mut random: ChaCha8Rng = rand::make_rng();
+        let exchange_settings = ExchangeSettings {
+            freshness_bound: settings.timing.freshness_bound(),
+            ..ExchangeSettings::default()
+        };
         let exchange = Exchange::new(
-            ExchangeSettings::default(),
+            exchange_settings,
             settings.node.peer_address,
             settings.peer_seeds(),
             random.random(),
         );
         Self {
             clock: shared.clock,
-            replica: Replica::new(settings.timing.tombstone_lifetime()),
-            exchange,
+            coordinator: Coordinator::new(
+                Replica::new(settings.timing.tombstone_lifetime()),
+                exchange,
+            ),
             lifecycle: Lifecycle::new(settings.timing.leave_grace()),
-            stall: StallDetector::default(),
             random,
             peer_key: PeerKey::default(),
             metrics: ControlMetrics::new(&mut registry),
             registry,
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
-            announcements: Vec::new(),
             told_suspected: Arc::default(),
             was_ready: false,
-            was_reader: false,
-            follows: [false; 2],
-            instances_told_at: Timestamp::ZERO,
-            configuration_told_at: Timestamp::ZERO,
+            last_duty: StoreDuty::Listener,
             shared,
         }
     }
@@ -146,66 +122,65 @@
     ///
     /// Why it doesn't.
     pub fn readiness(&self) -> Result<(), Unready> {
+        let replica = self.coordinator.replica();
         self.lifecycle.ready(
-            self.replica.configuration().is_some(),
-            self.replica.directory().as_of().is_some(),
+            replica.configuration().is_some(),
+            replica.directory().as_of().is_some(),
         )
     }
 
-    /// All that this node knows.
+    /// What a peer that asked for it lacks.
+    #[must_use]
+    pub fn snapshot_for(&self, request: FetchRequest) -> Snapshot {
+        self.coordinator.snapshot_for(self.clock.now(), request)
+    }
+
+    /// What to ask a peer that is ahead.
+    #[must_use]
+    pub fn fetch_request(&self) -> FetchRequest {
+        self.coordinator.fetch_request()
+    }
+
+    /// The message for a peer that knows `known`, if there is one.
     #[must_use]
-    pub fn snapshot(&self) -> Snapshot {
-        self.replica.snapshot(self.clock.now())
+    pub fn delta_for(&self, known: Versions) -> Option<DeltaMessage> {
+        self.coordinator.delta_for(self.clock.now(), known)
     }
 
     /// The store tells of instances.
-    pub fn instances(&mut self, update: Update<InstanceRecord, InstanceEvent>) {
-        let now = self.clock.now();
-        self.instances_told_at = now;
-        let directory = match update {
-            Update::Whole { at, items } => self.replica.replace_instances(now, at, items),
-            Update::Changes { at, events } => self.replica.apply_instances(now, at, events),
-        };
-        let change = StateChange {
-            directory,
-            ..StateChange::default()
-        };
-        self.changed(change, Source::Store);
+    pub fn instances(
+        &mut self,
+        update: Update<InstanceRecord, InstanceEvent>,
+    ) -> Vec<ExchangeEffect> {
+        let outcome = self.coordinator.instances(self.clock.now(), update);
+        self.take(outcome, Source::Store)
     }
 
     /// The store tells of the configuration.
-    pub fn configurations(&mut self, update: Update<Configuration, Configuration>) {
-        self.configuration_told_at = self.clock.now();
-        let (Update::Whole {
-            items: configurations,
-            ..
-        }
-        | Update::Changes {
-            events: configurations,
-            ..
-        }) = update;
-        let mut change = StateChange::default();
-        for configuration in configurations {
-            change.configuration |= self.replica.adopt_configuration(configuration);
-        }
-        self.changed(change, Source::Store);
+    pub fn configurations(
+        &mut self,
+        update: Update<Configuration, Configuration>,
+    ) -> Vec<ExchangeEffect> {
+        let outcome = self.coordinator.configurations(self.clock.now(), update);
+        self.take(outcome, Source::Store)
     }
 
-    /// How new the answers to this node's watches must be.
+    /// How this node goes on reading objects of a kind.
     #[must_use]
-    pub fn watch_freshness(&self) -> Freshness {
-        if self.exchange.is_reader() {
-            Freshness::Newest
-        } else {
-            Freshness::MayBeStale
-        }
+    pub fn watch_plan(&self, kind: ObjectKind) -> WatchPlan {
+        self.coordinator.watch_plan(self.clock.now(), kind)
+    }
+
+    /// The revision up to which everything of a kind is known.
+    #[must_use]
+    pub fn known_up_to(&self, kind: ObjectKind) -> Revision {
+        self.coordinator.known_up_to(kind)
     }
 
-    /// The store answers, or has ceased to.
-    pub fn note_store(&mut self, kind: ObjectKind, follows: bool) {
-        self.follows[kind as usize] = follows;
-        self.exchange.set_follows_store(self.follows == [true; 2]);
-        let event = if follows {
+    /// The store answers calls for a kind, or has ceased to.
+    pub fn note_store(&mut self, kind: ObjectKind, usable: bool) {
+        self.coordinator.note_store(kind, usable);
+        let event = if usable {
             EventCode::StoreReachable
         } else {
             EventCode::StoreUnreachable
@@ -214,28 +189,28 @@
     }
 
     /// A peer's snapshot has come.
-    pub fn merge(&mut self, from: SocketAddrV4, snapshot: Snapshot) {
+    pub fn snapshot(&mut self, from: SocketAddrV4, snapshot: Snapshot) -> Vec<ExchangeEffect> {
         self.metrics.snapshots_fetched.inc();
-        let change = self.replica.merge(self.clock.now(), snapshot);
+        let outcome = self.coordinator.snapshot(self.clock.now(), snapshot);
         log_event(
             EventCode::SnapshotFetched,
             format_args!(
                 "peer={from} configuration_changed={} instances_changed={}",
-                change.configuration, change.directory
+                outcome.change.configuration, outcome.change.directory
             ),
         );
-        self.changed(change, Source::Peer);
+        self.take(outcome, Source::Peer)
     }
 
     /// A peer's snapshot could not be read.
     pub fn fetch_failed(&mut self, from: SocketAddrV4) {
-        self.exchange.fetch_failed(from);
+        self.coordinator.fetch_failed(from);
     }
 
     /// A datagram has come from a peer.
-    pub fn heartbeat(&mut self, from: SocketAddrV4, bytes: &[u8]) -> Vec<ExchangeEffect> {
-        let heartbeat = match Heartbeat::decode(bytes, &self.peer_key) {
-            Ok(heartbeat) => heartbeat,
+    pub fn datagram(&mut self, from: SocketAddrV4, bytes: &[u8]) -> Vec<ExchangeEffect> {
+        let datagram = match PeerDatagram::decode(bytes, &self.peer_key) {
+            Ok(datagram) => datagram,
             Err(error) => {
                 self.metrics.heartbeats_rejected.inc();
                 self.limiter.log(
@@ -246,21 +221,18 @@
                 return Vec::new();
             }
         };
-        self.metrics.heartbeats_received.inc();
-        let replica = &self.replica;
-        self.exchange.heartbeat(
-            self.clock.now(),
-            from,
-            &heartbeat,
-            replica.versions(),
-            |versions| replica.is_behind(versions),
-        )
+        match datagram {
+            PeerDatagram::Heartbeat(_) => self.metrics.heartbeats_received.inc(),
+            PeerDatagram::Delta(_) => self.metrics.deltas_received.inc(),
+        };
+        let outcome = self.coordinator.datagram(self.clock.now(), from, datagram);
+        self.take(outcome, Source::Peer)
     }
 
     /// Time has passed.
     pub fn tick(&mut self) -> Vec<ExchangeEffect> {
         let now = self.clock.now();
-        let stalled = self.stall.tick(now);
+        let (outcome, stalled) = self.coordinator.tick(now);
         self.shared.tick(now, stalled.is_some());
         if let Some(gap) = stalled {
             self.metrics.stalls.inc();
@@ -269,17 +241,13 @@
                 format_args!("milliseconds={}", gap.as_millis()),
             );
         }
-        if self.replica.expire(now) {
+        if outcome.change.any() {
             self.publish();
         }
-        self.note_role();
-        self.exchange_suspicions();
+        let mut effects = outcome.effects;
+        effects.extend(self.exchange_suspicions(now));
+        self.note_duty(now);
         self.show_state(now);
-        let replica = &self.replica;
-        let mut effects = std::mem::take(&mut self.announcements);
-        effects.extend(self.exchange.tick(now, replica.versions(), |versions| {
-            replica.is_behind(versions)
-        }));
         effects
     }
 
@@ -288,7 +256,7 @@
         let now = self.clock.now();
         self.lifecycle.leave(now);
         self.note_readiness();
-        self.exchange.leave(self.replica.versions())
+        self.coordinator.leave(now)
     }
 
     /// When the process may stop, once it was asked to.
@@ -299,40 +267,41 @@
 
     /// Takes over what of changed settings can change while the process runs.
     pub fn reload(&mut self, settings: &Settings) {
-        self.exchange.set_seeds(settings.peer_seeds());
+        self.coordinator.set_seeds(settings.peer_seeds());
     }
 
-    fn changed(&mut self, change: StateChange, source: Source) {
-        if change.configuration {
+    /// Publishes and logs what changed, and returns what to do.
+    fn take(&mut self, outcome: Outcome, source: Source) -> Vec<ExchangeEffect> {
+        if outcome.change.configuration {
             self.log_configuration(source);
         }
-        if change.directory {
+        if outcome.change.directory {
             self.log_instances(source);
         }
-        if change.any() {
+        if outcome.change.any() {
             self.publish();
-            let versions = self.replica.versions();
-            self.announcements.extend(self.exchange.changed(versions));
         }
         self.note_readiness();
+        outcome.effects
     }
 
     fn publish(&self) {
-        self.shared.table.store(Arc::new(self.replica.table()));
+        let table = self.coordinator.replica().table();
+        self.shared.table.store(Arc::new(table));
     }
 
     /// Tells peers at once of a new suspicion, and the traffic thread of theirs.
-    fn exchange_suspicions(&mut self) {
+    fn exchange_suspicions(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
+        let mut effects = Vec::new();
         let suspected = self.shared.suspected.load_full();
         if suspected != self.told_suspected {
-            self.exchange.set_suspected(suspected.to_vec());
+            effects = self.coordinator.set_suspected(now, suspected.to_vec());
             self.told_suspected = suspected;
-            let versions = self.replica.versions();
-            self.announcements.extend(self.exchange.changed(versions));
         }
-        let hearsay = self.exchange.suspected_by_peers();
+        let hearsay = self.coordinator.suspected_by_peers();
         if **self.shared.hearsay.load() != hearsay {
             self.shared.hearsay.store(Arc::new(hearsay));
         }
+        effects
     }
 }
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -6,6 +6,9 @@
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
 
+/// The gauge of the confirmation's age while there is none.
+const NEVER_CONFIRMED: i64 = -1;
+
 impl Control {
     pub(super) fn note_readiness(&mut self) {
         let readiness = self.readiness();
@@ -18,16 +21,19 @@
         }
     }
 
-    pub(super) fn note_role(&mut self) {
-        let reader = self.exchange.is_reader();
-        if reader != self.was_reader {
-            self.was_reader = reader;
-            log_event(EventCode::RoleChanged, format_args!("reader={reader}"));
+    pub(super) fn note_duty(&mut self, now: Timestamp) {
+        let duty = self.coordinator.duty(now);
+        if duty != self.last_duty {
+            let before = std::mem::replace(&mut self.last_duty, duty);
+            log_event(
+                EventCode::RoleChanged,
+                format_args!("duty={duty:?} before={before:?}"),
+            );
         }
     }
 
     pub(super) fn log_configuration(&self, source: Source) {
-        let Some(configuration) = self.replica.configuration() else {
+        let Some(configuration) = self.coordinator.replica().configuration() else {
             return;
         };
         log_event(
@@ -43,7 +49,7 @@
     }
 
     pub(super) fn log_instances(&mut self, source: Source) {
-        let directory = self.replica.directory();
+        let directory = self.coordinator.replica().directory();
         let known = directory.instances().count();
         let gone = directory
             .instances()
@@ -66,21 +72,21 @@
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         };
         let metrics = &self.metrics;
-        let heard = self.exchange.peers().filter(|(_, peer)| peer.heard);
+        let heard = self
+            .coordinator
+            .exchange()
+            .peers()
+            .filter(|(_, peer)| peer.heard);
         set(&metrics.peers, heard.count() as u128);
-        let instances = self.replica.directory().instances();
+        let instances = self.coordinator.replica().directory().instances();
         set(&metrics.instances, instances.count() as u128);
-        let configuration = self.replica.configuration();
+        let configuration = self.coordinator.replica().configuration();
         let version = configuration.map_or(0, |held| held.version);
         set(&metrics.configuration_version, u128::from(version));
-        let age = |told_at| now.since(told_at).as_millis();
-        set(
-            &metrics.instances_age_milliseconds,
-            age(self.instances_told_at),
-        );
-        set(
-            &metrics.configuration_age_milliseconds,
-            age(self.configuration_told_at),
-        );
+        let age = self.coordinator.exchange().confirmation_age(now);
+        let age = age.map_or(NEVER_CONFIRMED, |age| {
+            i64::try_from(age.as_millis()).unwrap_or(i64::MAX)
+        });
+        metrics.confirmation_age_milliseconds.set(age);
     }
 }
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -32,6 +32,10 @@
     pub heartbeats_sent: Counter,
     /// Heartbeats received.
     pub heartbeats_received: Counter,
+    /// Deltas sent to peers.
+    pub deltas_sent: Counter,
+    /// Deltas received.
+    pub deltas_received: Counter,
     /// Peer messages that could not be decoded.
     pub heartbeats_rejected: Counter,
     /// Snapshots read from peers.
@@ -44,10 +48,8 @@
     pub instances: Gauge,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
-    /// Milliseconds since the store last told of instances.
-    pub instances_age_milliseconds: Gauge,
-    /// Milliseconds since the store last told of the configuration.
-    pub configuration_age_milliseconds: Gauge,
+    /// Milliseconds since the state was last known to be the newest; -1 if it never was.
+    pub confirmation_age_milliseconds: Gauge,
 }
 
 impl ControlMetrics {
@@ -59,14 +61,15 @@
             store_calls: Family::default(),
             heartbeats_sent: Counter::default(),
             heartbeats_received: Counter::default(),
+            deltas_sent: Counter::default(),
+            deltas_received: Counter::default(),
             heartbeats_rejected: Counter::default(),
             snapshots_fetched: Counter::default(),
             stalls: Counter::default(),
             peers: Gauge::default(),
             instances: Gauge::default(),
             configuration_version: Gauge::default(),
-            instances_age_milliseconds: Gauge::default(),
-            configuration_age_milliseconds: Gauge::default(),
+            confirmation_age_milliseconds: Gauge::default(),
         };
         registry.register(
             "list_seconds",
@@ -89,6 +92,12 @@
                 "Heartbeats received",
                 &metrics.heartbeats_received,
             ),
+            ("deltas_sent", "Deltas sent to peers", &metrics.deltas_sent),
+            (
+                "deltas_received",
+                "Deltas received",
+                &metrics.deltas_received,
+            ),
             (
                 "heartbeats_rejected",
                 "Peer messages dropped as malformed",
@@ -121,14 +130,9 @@
                 &metrics.configuration_version,
             ),
             (
-                "instances_age_milliseconds",
-                "Time since the store told of instances",
-                &metrics.instances_age_milliseconds,
-            ),
-            (
-                "configuration_age_milliseconds",
-                "Time since the store told of the configuration",
-                &metrics.configuration_age_milliseconds,
+                "confirmation_age_milliseconds",
+                "Time since the state was known to be the newest, -1 for never",
+                &metrics.confirmation_age_milliseconds,
             ),
         ];
         for (name, help, gauge) in gauges {
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -1,18 +1,19 @@
 //! From the command line to the end of the process.
 
 use super::command_line::{USAGE, flag_list, parse_command_line};
-use super::control::{Control, ObjectKind, TICK};
+use super::control::{Control, TICK};
 use super::settings::{Settings, load_settings};
 use super::shared::Shared;
 use crate::connection::follow::follow;
 use crate::connection::http_server;
-use crate::connection::peers::{perform, receive_heartbeats, serve_snapshots};
+use crate::connection::peers::{PeerLink, receive_datagrams, serve_snapshots};
 use crate::connection::store::Store;
 use crate::packet::{PacketCounters, start_traffic_thread};
 use anyhow::Context;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_api::result_code::ResultCode;
 use bellyoke_core::cookie::follower::FollowerSettings;
+use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::packet::PacketCodec;
 use bellyoke_process::clock::MonotonicClock;
 use bellyoke_process::log::{log_event, start_non_blocking_log};
@@ -139,13 +140,13 @@
     let shared = Arc::new(Shared::new(clock, packets));
     let control = Control::new(&settings, Arc::clone(&shared), registry);
     let control = Rc::new(RefCell::new(control));
-    let peer_socket = bind_all(&settings, &control).await?;
+    let link = bind_all(&settings, &control).await?;
     let data_address = settings.node.data_address;
     let data_socket = UdpSocket::bind(data_address)
         .with_context(|| format!("bind node.data_address {data_address}"))?;
     start_traffic_thread("traffic-0".to_owned(), data_socket, codec, shared)
         .context("start a traffic thread")?;
-    follow_store(&control, &settings, &store);
+    follow_store(&link, &settings, &store);
     log_event(
         EventCode::ProcessStarted,
         format_args!(
@@ -166,7 +167,7 @@
         tokio::select! {
             _ = ticks.tick() => {
                 let effects = control.borrow_mut().tick();
-                perform(&control, &peer_socket, effects);
+                link.perform(effects);
                 if is_over(&control, clock) {
                     log_event(EventCode::ProcessStopped, "grace time is over");
                     return Ok(());
@@ -182,7 +183,7 @@
                 }
                 log_event(EventCode::LeaveRequested, "signal");
                 let effects = control.borrow_mut().leave();
-                perform(&control, &peer_socket, effects);
+                link.perform(effects);
             }
         }
     }
@@ -193,12 +194,9 @@
     stop_at.is_some_and(|stop_at| clock.now() >= stop_at)
 }
 
-/// Binds all sockets but that of the traffic, starts what serves them, and returns the socket of
-/// the heartbeats.
-async fn bind_all(
-    settings: &Settings,
-    control: &Rc<RefCell<Control>>,
-) -> anyhow::Result<Arc<tokio::net::UdpSocket>> {
+/// Binds all sockets but that of the traffic, starts what serves them, and returns the way to
+/// peers.
+async fn bind_all(settings: &Settings, control: &Rc<RefCell<Control>>) -> anyhow::Result<PeerLink> {
     let node = &settings.node;
     let ready = listen(node.ready_address, "node.ready_address").await?;
     spawn_local(http_server::serve(Rc::clone(control), ready));
@@ -210,12 +208,12 @@
     let peer_socket = tokio::net::UdpSocket::bind(node.peer_address)
         .await
         .with_context(|| format!("bind node.peer_address {}", node.peer_address))?;
-    let peer_socket = Arc::new(peer_socket);
-    spawn_local(receive_heartbeats(
-        Rc::clone(control),
-        Arc::clone(&peer_socket),
-    ));
-    Ok(peer_socket)
+    let link = PeerLink {
+        control: Rc::clone(control),
+        socket: Arc::new(peer_socket),
+    };
+    spawn_local(receive_datagrams(link.clone()));
+    Ok(link)
 }
 
 /// Metrics are not worth a node that doesn't start.
@@ -234,21 +232,21 @@
         .with_context(|| format!("bind {key} {address}"))
 }
 
-fn follow_store<S: Store>(control: &Rc<RefCell<Control>>, settings: &Settings, store: &S) {
+fn follow_store<S: Store>(link: &PeerLink, settings: &Settings, store: &S) {
     let address = settings.store.address;
     let follower = FollowerSettings {
         watch_wait: settings.timing.watch_wait(),
         ..FollowerSettings::default()
     };
     spawn_local(follow(
-        Rc::clone(control),
+        link.clone(),
         ObjectKind::Configuration,
         store.configurations(address),
         follower,
         Control::configurations,
     ));
     spawn_local(follow(
-        Rc::clone(control),
+        link.clone(),
         ObjectKind::Instances,
         store.instances(address),
         follower,
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -32,8 +32,12 @@
         "Longest life of a flow. Instances whose records have gone are remembered for so long."),
     key("timing", "leave_grace_ms", "ms", integer(0, 600_000), Literal("3000"),
         "How long a leaving node goes on forwarding; longer than routers take to notice."),
-    key("timing", "watch_wait_ms", "ms", integer(200, 30_000), Literal("2000"),
+    key("timing", "watch_wait_ms", "ms", integer(200, 30_000), Literal("750"),
         "How long the store holds a watch open; bounds how long a dead connection goes unnoticed."),
+    key("timing", "in_force_within_ms", "ms", integer(100, 3_600_000), Literal("3000"),
+        "How soon a change of the configuration must be in force. A node that heard no confirmation of what it knows for half of it asks the store itself."),
+    key("timing", "drained_within_ms", "ms", integer(100, 3_600_000), Literal("3000"),
+        "How soon a backend that drains must get no new flow; counts like `in_force_within_ms`."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -106,6 +110,10 @@
     pub leave_grace_ms: u64,
     /// How long the store holds a watch open, milliseconds.
     pub watch_wait_ms: u64,
+    /// How soon a change of the configuration must be in force, milliseconds.
+    pub in_force_within_ms: u64,
+    /// How soon a backend that drains must get no new flow, milliseconds.
+    pub drained_within_ms: u64,
 }
 
 impl TimingSettings {
@@ -123,6 +131,13 @@
         Duration::from_millis(self.leave_grace_ms)
     }
 
+    /// How old the last confirmation may be before a node asks the store itself.
+    #[must_use]
+    pub fn freshness_bound(&self) -> Duration {
+        let soonest = self.in_force_within_ms.min(self.drained_within_ms);
+        Duration::from_millis(soonest / 2)
+    }
+
     /// How long the store holds a watch open.
     #[must_use]
     pub const fn watch_wait(&self) -> Duration {
