--- a/model/exchange.pml
+++ b/model/exchange.pml
@@ -3,8 +3,9 @@
  * snapshots in any order, restarts, and a store that goes down for good. One instance's record changes as RECORD says; the
  * last revision changes something else, so that an answer may reach further than the last change of the record.
  *
- * A snapshot under way is a fact that its receiver may see at any later time, or never. A stale read tells the state at any
- * revision up to the newest.
+ * A snapshot, delta or confirmation under way is a fact that its receiver may see at any later time, or never. A delta
+ * (since, to] tells what has changed after one revision, up to another; a confirmation (changed, to) that nothing has
+ * changed after the one, up to the other. A stale read tells the state at any revision up to the newest.
  */
 
 #include "common.pml"
@@ -37,6 +38,45 @@
 byte under_way[NODES];
 #define BIT(index) (1 << (index))
 
+/* The delta and the confirmation under way to each receiver, none while their last revision is 0. One of each is enough: what
+ * an arrival does depends on no other message. */
+byte delta_since[NODES];
+byte delta_to[NODES];
+byte confirm_changed[NODES];
+byte confirm_to[NODES];
+
+/* The changes in (since, to], for a node that knows all up to since. Records carry their revisions, removals don't. */
+inline apply_delta(since, to) {
+    if
+#ifdef ANY_DELTA
+    :: to > as_of[node] ->
+#else
+    :: as_of[node] > 0 && as_of[node] >= since && to > as_of[node] ->
+#endif
+        if
+        :: CHANGED(to) > since && RECORD(to) == GONE -> held[node] = GONE
+        :: CHANGED(to) > since && RECORD(to) == READY && CHANGED(to) > as_of[node] -> held[node] = READY
+        :: else
+        fi;
+        as_of[node] = to
+    :: else
+    fi;
+    check_held()
+}
+
+/* Nothing has changed after changed, up to to. */
+inline confirm(changed, to) {
+    if
+#ifdef CONFIRM_ANY
+    :: as_of[node] > 0 && to > as_of[node] -> as_of[node] = to
+#else
+    :: as_of[node] > 0 && as_of[node] >= changed && to > as_of[node] -> as_of[node] = to
+#endif
+    :: else
+    fi;
+    check_held()
+}
+
 inline check_held() {
     CHECK(SAME_CONTENT, held[node] == RECORD(as_of[node]))
 }
@@ -87,6 +127,7 @@
 
 proctype Node(byte node) {
     byte revision;
+    byte since;
 end:
     do
     /* A list: the newest state, or a stale one. */
@@ -122,13 +163,43 @@
         :: else
         fi;
         revision = 0 }
+#ifdef PUSH
+    /* A peer that knows more pushes what has changed after any revision. */
+    :: atomic { delta_to[node] == 0 && as_of[(node + 1) % NODES] > as_of[node] ->
+        select (since : 0 .. NEWEST - 1);
+        if
+        :: since < as_of[(node + 1) % NODES] ->
+            delta_since[node] = since;
+            delta_to[node] = as_of[(node + 1) % NODES]
+        :: else
+        fi;
+        since = 0 }
+    :: atomic { delta_to[node] != 0 ->
+        apply_delta(delta_since[node], delta_to[node]);
+        delta_since[node] = 0;
+        delta_to[node] = 0 }
+#endif
+#ifdef CONFIRM
+    /* It says up to where nothing has changed. */
+    :: atomic { confirm_to[node] == 0 && as_of[(node + 1) % NODES] > as_of[node] ->
+        confirm_changed[node] = CHANGED(as_of[(node + 1) % NODES]);
+        confirm_to[node] = as_of[(node + 1) % NODES] }
+    :: atomic { confirm_to[node] != 0 ->
+        confirm(confirm_changed[node], confirm_to[node]);
+        confirm_changed[node] = 0;
+        confirm_to[node] = 0 }
+#endif
     /* The process is restarted and knows nothing. */
     :: atomic { restarts < RESTARTS && as_of[node] > 0 ->
         restarts++;
         as_of[node] = 0;
         held[node] = NOTHING;
         watch_from[node] = 0;
-        under_way[node] = 0 }
+        under_way[node] = 0;
+        delta_since[node] = 0;
+        delta_to[node] = 0;
+        confirm_changed[node] = 0;
+        confirm_to[node] = 0 }
     od
 }
 
