Reset open flows whose instance is dead beyond doubt

Change: a flow is reset when its client sends the same data for the third time (600 ms) while two nodes saw openings fail at its instance within the last 2 s, and openings of this node elsewhere succeed.

Ruled out: a reset at the second copy (200 ms): one copy may be lost, and the answer is late either way; a reset on suspicion alone: an instance that is full is silent to openings and alive.

The model's clients of long flows now try again after a reset, as the users' do.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -110,13 +110,14 @@
     FlowRefused = 802, Info, "A new flow was answered with a reset, since no instance can take it; nothing of it has run.";
     PacketDropped = 803, Info, "A packet was dropped; the reason says why.";
     PacketSendFailed = 804, Warn, "A packet could not be sent.";
+    FlowReset = 805, Warn, "An open flow was reset: its client repeats data to an instance that is held dead; what ran there may have run.";
     InstanceSuspected = 811, Warn, "Openings sent to an instance came to nothing; others are preferred.";
     InstanceRecovered = 812, Info, "A flow opened at an instance that was suspected.";
     InstancesChanged = 813, Info, "Instances came, went or changed.";
     ConfigurationAdopted = 814, Info, "A newer configuration is in force on this node.";
     ReadinessChanged = 815, Info, "This node has become ready for new flows, or has ceased to be.";
     StallDetected = 816, Warn, "The process stood still; openings that waited in its socket are dropped.";
-    RoleChanged = 817, Info, "This node has become one of the few that read the store's newest state for all, or has ceased to be.";
+    RoleChanged = 817, Info, "This node reads the store for all (Reader), backs up the one that does (Backup), or rests while these tell it enough (Listener).";
     PeerJoined = 821, Info, "A peer was heard that was not known to be alive.";
     PeerLost = 822, Info, "A peer was silent for too long, or has left.";
     SnapshotFetched = 823, Info, "A peer's snapshot was read; what was newer in it is in force.";
--- a/crates/bellyoke-core/benches/cookie.rs
+++ b/crates/bellyoke-core/benches/cookie.rs
@@ -104,6 +104,7 @@
         flow: flow(number, services),
         role: PacketRole::Opening { attempt: 0 },
         cookie: None,
+        data_sequence: None,
     }
 }
 
@@ -113,6 +114,7 @@
         flow: flow(number, services),
         role: PacketRole::Later,
         cookie: Some(Cookie::of(instance_id(instance))),
+        data_sequence: None,
     }
 }
 
--- a/crates/bellyoke-core/examples/embed_cookie.rs
+++ b/crates/bellyoke-core/examples/embed_cookie.rs
@@ -56,6 +56,7 @@
         },
         role: PacketRole::Opening { attempt: 0 },
         cookie: None,
+        data_sequence: None,
     };
     let placed = destination(forwarder.decide(now, &replica.table(), &packet, false));
     println!(
@@ -76,6 +77,7 @@
     match decision {
         Decision::Place { destination, .. } | Decision::Follow { destination, .. } => destination,
         Decision::Refuse(reason) => panic!("refused: {reason:?}"),
+        Decision::ResetDead { destination } => panic!("{} is held dead", destination.instance),
         Decision::Drop(reason) => panic!("dropped: {reason:?}"),
     }
 }
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -8,13 +8,13 @@
 };
 use crate::cookie::follower::{Update, WatchPlan};
 use crate::cookie::freshness::ObjectKind;
-use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use crate::cookie::health::{FailingInstance, Hearsay};
+use crate::cookie::instance::{InstanceEvent, InstanceRecord};
 use crate::cookie::replica::{Replica, Snapshot, StateChange, Versions};
 use crate::cookie::revision::Revision;
 use crate::cookie::route::Configuration;
 use crate::cookie::stall::StallDetector;
 use crate::time::Timestamp;
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -171,7 +171,7 @@
     /// A snapshot that was fetched from a peer has come.
     pub fn snapshot(&mut self, now: Timestamp, snapshot: Snapshot) -> Outcome {
         let before = self.replica.versions();
-        self.exchange.fetched();
+        self.exchange.fetched(snapshot.versions);
         let change = self.replica.merge(now, snapshot);
         self.changed(now, before, change)
     }
@@ -196,15 +196,19 @@
     }
 
     /// Instances that fail the openings that this node sends. Tells peers of a change at once.
-    pub fn set_suspected(&mut self, now: Timestamp, suspected: Vec<Cookie>) -> Vec<ExchangeEffect> {
-        self.exchange.set_suspected(suspected);
+    pub fn set_failing(
+        &mut self,
+        now: Timestamp,
+        failing: Vec<FailingInstance>,
+    ) -> Vec<ExchangeEffect> {
+        self.exchange.set_failing(failing);
         self.exchange.announce(now, self.replica.versions())
     }
 
-    /// Instances that several peers suspect.
+    /// What peers say of instances.
     #[must_use]
-    pub fn suspected_by_peers(&self) -> BTreeSet<Cookie> {
-        self.exchange.suspected_by_peers()
+    pub fn hearsay(&self) -> Hearsay {
+        self.exchange.hearsay()
     }
 
     /// The node leaves: tells a few peers.
--- a/crates/bellyoke-core/src/cookie/exchange/candidates.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/candidates.rs
@@ -77,7 +77,7 @@
         let claims = self.claims.values();
         let claims = claims.map(|(address, made_at)| WatcherClaim {
             address: *address,
-            age_milliseconds: u32::try_from(now.since(*made_at).as_millis()).unwrap_or(u32::MAX),
+            age_milliseconds: super::milliseconds_since(now, *made_at),
         });
         claims.collect()
     }
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -31,7 +31,7 @@
 const HEADER_LENGTH: usize = 2 + TAG_LENGTH;
 
 /// Longest heartbeat, bytes: it fits one datagram on any usual path.
-pub const MAXIMUM_HEARTBEAT_LENGTH: usize = 512;
+pub const MAXIMUM_HEARTBEAT_LENGTH: usize = 640;
 
 /// Longest datagram between peers, bytes: a delta that is longer is fetched instead.
 pub const MAXIMUM_DATAGRAM_LENGTH: usize = 1_400;
@@ -55,8 +55,17 @@
     pub claims: Vec<WatcherClaim>,
     /// Some peers that it has heard of late.
     pub peers: Vec<SocketAddrV4>,
-    /// Cookies of instances that don't complete the openings that it sends itself.
-    pub suspected: Vec<u32>,
+    /// Instances that don't complete the openings that it sends itself.
+    pub failing: Vec<FailingReport>,
+}
+
+/// An instance that fails a peer's openings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct FailingReport {
+    /// The instance's cookie.
+    pub cookie: u32,
+    /// How long ago the last one failed, milliseconds.
+    pub age_milliseconds: u32,
 }
 
 /// What a peer that knew a little less needs to know.
@@ -205,8 +214,8 @@
     /// Most peers that a heartbeat tells of.
     pub const MAXIMUM_PEERS: usize = 6;
 
-    /// Most suspected instances that a heartbeat tells of.
-    pub const MAXIMUM_SUSPECTED: usize = 32;
+    /// Most failing instances that a heartbeat tells of.
+    pub const MAXIMUM_FAILING: usize = 32;
 
     /// The bytes of this heartbeat.
     ///
@@ -229,7 +238,7 @@
             .map_err(|error| DecodeError::Invalid(error.to_string()))?;
         if heartbeat.peers.len() > Self::MAXIMUM_PEERS
             || heartbeat.claims.len() > WATCHERS
-            || heartbeat.suspected.len() > Self::MAXIMUM_SUSPECTED
+            || heartbeat.failing.len() > Self::MAXIMUM_FAILING
         {
             return Err(DecodeError::Length {
                 length: bytes.len(),
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -19,22 +19,21 @@
 
 pub use candidates::{CLAIM_LIFETIME, StoreDuty, WATCHERS, WatcherClaim};
 pub use message::{
-    DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
-    MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey,
-    decode_snapshot, encode_snapshot,
+    DecodeError, DeltaMessage, EncodeError, FailingReport, FetchRequest, Heartbeat,
+    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH,
+    MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey, decode_snapshot, encode_snapshot,
 };
 pub use peers::PeerRecord;
 
 use crate::cookie::follower::{Freshness, WatchPlan};
 use crate::cookie::freshness::{FreshnessClock, ObjectKind};
-use crate::cookie::instance::Cookie;
+use crate::cookie::health::{FailingInstance, Hearsay};
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
 use candidates::ClaimTable;
 use peers::PeerTable;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -140,7 +139,7 @@
     told_confirmation: Timestamp,
     distrust_until: Timestamp,
     introductions: u32,
-    suspected: Vec<Cookie>,
+    failing: Vec<FailingInstance>,
 }
 
 impl Exchange {
@@ -169,7 +168,7 @@
             told_confirmation: Timestamp::ZERO,
             distrust_until: Timestamp::ZERO,
             introductions: INTRODUCTIONS,
-            suspected: Vec::new(),
+            failing: Vec::new(),
         };
         exchange.set_seeds(seeds);
         exchange
@@ -347,20 +346,26 @@
 
     /// Instances that don't complete the openings that this node sends itself. What it only
     /// heard of is not told on, so that a suspicion ends with those who saw it.
-    pub fn set_suspected(&mut self, mut suspected: Vec<Cookie>) {
-        suspected.truncate(Heartbeat::MAXIMUM_SUSPECTED);
-        self.suspected = suspected;
+    pub fn set_failing(&mut self, mut failing: Vec<FailingInstance>) {
+        failing.truncate(Heartbeat::MAXIMUM_FAILING);
+        self.failing = failing;
     }
 
-    /// Instances that several peers suspect. One alone may be cut off from them itself.
+    /// What peers say of instances. Several must agree before one is suspected: one alone may be
+    /// cut off from it itself.
     #[must_use]
-    pub fn suspected_by_peers(&self) -> BTreeSet<Cookie> {
-        self.peers.suspected(WITNESSES)
+    pub fn hearsay(&self) -> Hearsay {
+        Hearsay {
+            suspected: self.peers.suspected(WITNESSES),
+            failures: self.peers.failures().collect(),
+        }
     }
 
-    /// A snapshot of a peer was taken over.
-    pub const fn fetched(&mut self) {
-        self.introductions = self.introductions.saturating_sub(1);
+    /// A snapshot of a peer with these versions was taken over.
+    pub fn fetched(&mut self, versions: Versions) {
+        if !versions.is_empty() {
+            self.introductions = self.introductions.saturating_sub(1);
+        }
     }
 
     /// A fetch from `from` came to nothing.
@@ -419,10 +424,19 @@
             peers: self
                 .peers
                 .sample_for(to, Heartbeat::MAXIMUM_PEERS, &mut self.random),
-            suspected: self.suspected.iter().map(|cookie| cookie.bits()).collect(),
+            failing: self.failing_reports(now),
         }
     }
 
+    fn failing_reports(&self, now: Timestamp) -> Vec<FailingReport> {
+        let failing = self.failing.iter();
+        let reports = failing.map(|failing| FailingReport {
+            cookie: failing.cookie.bits(),
+            age_milliseconds: milliseconds_since(now, failing.failed_at),
+        });
+        reports.collect()
+    }
+
     fn renew_claim(&mut self, now: Timestamp) {
         if self.store_usable && !self.leaving {
             self.claims.note(self.own_address, now);
@@ -548,3 +562,8 @@
         }
     }
 }
+
+/// Milliseconds from an earlier time to now, as messages tell ages.
+fn milliseconds_since(now: Timestamp, earlier: Timestamp) -> u32 {
+    u32::try_from(now.since(earlier).as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -1,6 +1,7 @@
 //! The peers that a node has heard of late.
 
-use super::message::Heartbeat;
+use super::message::{FailingReport, Heartbeat};
+use crate::cookie::health::FailingInstance;
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
@@ -27,7 +28,7 @@
     /// How much it knows.
     pub versions: Versions,
     /// Instances that don't complete its openings.
-    pub suspected: Vec<Cookie>,
+    pub failing: Vec<FailingInstance>,
     replied_at: Option<Timestamp>,
 }
 
@@ -58,14 +59,14 @@
             noted_at: now,
             heard: false,
             versions: heartbeat.versions,
-            suspected: Vec::new(),
+            failing: Vec::new(),
             replied_at: None,
         });
         record.noted_at = now;
         record.versions = heartbeat.versions;
-        let suspected = heartbeat.suspected.iter();
-        record.suspected = suspected
-            .filter_map(|bits| Cookie::from_bits(*bits))
+        let failing = heartbeat.failing.iter();
+        record.failing = failing
+            .filter_map(|report| failing_instance(now, report))
             .collect();
         !std::mem::replace(&mut record.heard, true)
     }
@@ -79,7 +80,7 @@
             noted_at: now,
             heard: false,
             versions: Versions::default(),
-            suspected: Vec::new(),
+            failing: Vec::new(),
             replied_at: None,
         });
     }
@@ -121,13 +122,19 @@
         let heard = self.records.values().filter(|record| record.heard);
         let witnesses = witnesses.min(heard.clone().count());
         let mut counts: BTreeMap<Cookie, usize> = BTreeMap::new();
-        for cookie in heard.flat_map(|record| &record.suspected) {
-            *counts.entry(*cookie).or_default() += 1;
+        for failing in heard.flat_map(|record| &record.failing) {
+            *counts.entry(failing.cookie).or_default() += 1;
         }
         let enough = counts.into_iter().filter(|(_, count)| *count >= witnesses);
         enough.map(|(cookie, _)| cookie).collect()
     }
 
+    /// Each failing instance of each peer.
+    pub(super) fn failures(&self) -> impl Iterator<Item = FailingInstance> {
+        let heard = self.records.values().filter(|record| record.heard);
+        heard.flat_map(|record| record.failing.iter().copied())
+    }
+
     pub(super) fn sample(&self, count: usize, random: &mut impl Rng) -> Vec<SocketAddrV4> {
         self.records.keys().copied().sample(random, count)
     }
@@ -193,3 +200,11 @@
         }
     }
 }
+
+fn failing_instance(now: Timestamp, report: &FailingReport) -> Option<FailingInstance> {
+    let age = Duration::from_millis(u64::from(report.age_milliseconds));
+    Some(FailingInstance {
+        cookie: Cookie::from_bits(report.cookie)?,
+        failed_at: now.before(age),
+    })
+}
--- a/crates/bellyoke-core/src/cookie/freshness.rs
+++ b/crates/bellyoke-core/src/cookie/freshness.rs
@@ -37,7 +37,7 @@
 /// use bellyoke_core::time::Timestamp;
 /// use std::time::Duration;
 ///
-/// let at = |seconds| Timestamp::from_micros(seconds * 1_000_000);
+/// let at = |seconds: u64| Timestamp::from_micros(seconds * 1_000_000);
 /// let mut clock = FreshnessClock::default();
 /// clock.confirm(ObjectKind::Instances, at(5));
 /// assert_eq!(clock.age(at(7)), None, "the configuration was never confirmed");
--- a/crates/bellyoke-core/src/cookie/health.rs
+++ b/crates/bellyoke-core/src/cookie/health.rs
@@ -23,6 +23,10 @@
     pub suspicion: Duration,
     /// Longest time between two trials.
     pub longest_suspicion: Duration,
+    /// How old the last failure of an instance that is held dead may be. Shorter than the time
+    /// that an instance counts as disturbed after its disruption: one that is well again, and
+    /// not tried yet, must not lose its flows.
+    pub proof_lifetime: Duration,
 }
 
 impl Default for HealthSettings {
@@ -32,10 +36,32 @@
             failure_threshold: 2,
             suspicion: Duration::from_secs(2),
             longest_suspicion: Duration::from_secs(16),
+            proof_lifetime: Duration::from_secs(2),
         }
     }
 }
 
+/// An instance that fails openings, as the node saw it that sent them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailingInstance {
+    /// The instance.
+    pub cookie: Cookie,
+    /// When the last one failed.
+    pub failed_at: Timestamp,
+}
+
+/// What peers say of instances.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Hearsay {
+    /// Instances that enough of them suspect.
+    pub suspected: BTreeSet<Cookie>,
+    /// Each failing instance of each peer.
+    pub failures: Vec<FailingInstance>,
+}
+
+/// Nodes that must have seen openings fail just now before an instance is held dead.
+const DEATH_WITNESSES: usize = 2;
+
 /// Openings watched at once; further ones are placed without being watched.
 pub const MAXIMUM_PENDING_OPENINGS: usize = 4_096;
 
@@ -65,6 +91,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct InstanceHealth {
     failures: u32,
+    failed_at: Timestamp,
     failed_trials: u32,
     trial_under_way: bool,
     suspected_until: Timestamp,
@@ -77,8 +104,7 @@
     pending: BTreeMap<u64, PendingOpening>,
     /// Flow hashes by the time of their opening, the oldest first.
     order: VecDeque<(Timestamp, u64)>,
-    /// Instances that peers suspect.
-    hearsay: BTreeSet<Cookie>,
+    hearsay: Hearsay,
     /// When an opening last succeeded.
     succeeded_at: BTreeMap<Cookie, Timestamp>,
     /// Instances whose last opening failed.
@@ -89,12 +115,12 @@
 impl OpeningMonitor {
     /// A monitor that suspects nobody.
     #[must_use]
-    pub const fn new(settings: HealthSettings) -> Self {
+    pub fn new(settings: HealthSettings) -> Self {
         Self {
             settings,
             pending: BTreeMap::new(),
             order: VecDeque::new(),
-            hearsay: BTreeSet::new(),
+            hearsay: Hearsay::default(),
             succeeded_at: BTreeMap::new(),
             failing: BTreeMap::new(),
             changes: Vec::new(),
@@ -109,20 +135,39 @@
         {
             return now < health.suspected_until;
         }
-        self.hearsay.contains(&cookie) && !self.succeeded_of_late(now, cookie)
+        self.hearsay.suspected.contains(&cookie) && !self.succeeded_of_late(now, cookie)
+    }
+
+    /// Whether an instance is dead beyond reasonable doubt: several nodes, this one or peers,
+    /// saw openings fail there just now, and openings of this node elsewhere succeed, so that
+    /// the fault is not its own.
+    #[must_use]
+    pub fn is_held_dead(&self, now: Timestamp, cookie: Cookie) -> bool {
+        let recent = |at: Timestamp| now.since(at) < self.settings.proof_lifetime;
+        let of_peers = self.hearsay.failures.iter().copied();
+        let witnesses = self
+            .failing_instances()
+            .chain(of_peers)
+            .filter(|failing| failing.cookie == cookie && recent(failing.failed_at))
+            .count();
+        let others_succeed = self.succeeded_at.values().filter(|at| recent(**at)).count();
+        witnesses >= DEATH_WITNESSES && others_succeed > self.failing_instances().count()
     }
 
     /// Instances that fail the openings of this node itself.
-    pub fn suspected(&self) -> impl Iterator<Item = Cookie> {
+    pub fn failing_instances(&self) -> impl Iterator<Item = FailingInstance> {
         let threshold = self.settings.failure_threshold;
-        let suspected = self.failing.iter();
-        let suspected = suspected.filter(move |(_, health)| health.failures >= threshold);
-        suspected.map(|(cookie, _)| *cookie)
+        let failing = self.failing.iter();
+        let failing = failing.filter(move |(_, health)| health.failures >= threshold);
+        failing.map(|(cookie, health)| FailingInstance {
+            cookie: *cookie,
+            failed_at: health.failed_at,
+        })
     }
 
-    /// Peers suspect these instances.
-    pub fn set_hearsay(&mut self, suspected: &BTreeSet<Cookie>) {
-        self.hearsay.clone_from(suspected);
+    /// What peers say now.
+    pub fn set_hearsay(&mut self, hearsay: &Hearsay) {
+        self.hearsay.clone_from(hearsay);
     }
 
     /// An opening of a flow goes to an instance.
@@ -197,6 +242,7 @@
     fn failed(&mut self, now: Timestamp, opening: PendingOpening) {
         let health = self.failing.entry(opening.cookie).or_default();
         health.failures = health.failures.saturating_add(1);
+        health.failed_at = now;
         if health.failures < self.settings.failure_threshold {
             return;
         }
--- a/crates/bellyoke-core/src/cookie/packet.rs
+++ b/crates/bellyoke-core/src/cookie/packet.rs
@@ -52,6 +52,8 @@
     pub role: PacketRole,
     /// The cookie that it carries.
     pub cookie: Option<Cookie>,
+    /// Sequence number of its first byte of data; none without data.
+    pub data_sequence: Option<u32>,
 }
 
 /// Why bytes are no packet.
--- a/crates/bellyoke-core/tests/cookie/support.rs
+++ b/crates/bellyoke-core/tests/cookie/support.rs
@@ -81,6 +81,7 @@
         flow: flow(number),
         role: PacketRole::Opening { attempt },
         cookie: None,
+        data_sequence: None,
     }
 }
 
@@ -89,5 +90,6 @@
         flow: flow(number),
         role: PacketRole::Later,
         cookie: Some(cookie),
+        data_sequence: None,
     }
 }
--- a/crates/bellyoke-lab/src/cookie/client.rs
+++ b/crates/bellyoke-lab/src/cookie/client.rs
@@ -26,6 +26,8 @@
     pub pause: Duration,
     /// How long it waits for an answer, from its first try.
     pub deadline: Duration,
+    /// How often it tries a request again over a new flow when its flow was reset.
+    pub retries: u32,
 }
 
 /// What happened to a client.
@@ -40,12 +42,14 @@
         /// The request's number.
         request: u64,
     },
-    /// A reset has come. `open` tells whether the flow was open.
+    /// A reset has come.
     Reset {
         /// The flow.
         flow: FlowTuple,
         /// Whether it was open.
         open: bool,
+        /// Whether the request is tried again.
+        retried: bool,
     },
     /// An answer has come.
     Answered {
@@ -84,6 +88,7 @@
         until: Timestamp,
     },
     Opening {
+        first_tried: Timestamp,
         since: Timestamp,
         copies: u32,
     },
@@ -114,6 +119,8 @@
     state: State,
     open: Option<OpenFlow>,
     next_request: u64,
+    /// Times that the request under way was tried again.
+    retried: u32,
 }
 
 impl Client {
@@ -127,6 +134,7 @@
             state: State::Resting { until: start },
             open: None,
             next_request: first_request,
+            retried: 0,
         }
     }
 
@@ -145,11 +153,11 @@
                 if self.open.is_some() {
                     self.request(now, now, &mut output);
                 } else {
-                    self.begin(now, &mut output);
+                    self.begin(now, now, &mut output);
                 }
             }
             State::Resting { .. } => {}
-            State::Opening { since, copies } => {
+            State::Opening { since, copies, .. } => {
                 let waited = now.since(*since);
                 if waited >= OPENING_TIMEOUT {
                     self.give_up(now, &mut output);
@@ -199,13 +207,14 @@
         output
     }
 
-    fn begin(&mut self, now: Timestamp, output: &mut ClientOutput) {
+    fn begin(&mut self, now: Timestamp, first_tried: Timestamp, output: &mut ClientOutput) {
         self.port = if self.port == u16::MAX {
             1_024
         } else {
             self.port + 1
         };
         self.state = State::Opening {
+            first_tried,
             since: now,
             copies: 0,
         };
@@ -238,7 +247,7 @@
             open.echo = packet.echo;
             return;
         }
-        let State::Opening { since, .. } = self.state else {
+        let State::Opening { first_tried, .. } = self.state else {
             return;
         };
         self.open = Some(OpenFlow {
@@ -247,7 +256,7 @@
             echo: packet.echo,
             requests: 0,
         });
-        self.request(now, since, output);
+        self.request(now, first_tried, output);
     }
 
     fn request(&mut self, now: Timestamp, since: Timestamp, output: &mut ClientOutput) {
@@ -324,6 +333,7 @@
     }
 
     fn rest(&mut self, now: Timestamp, output: &mut ClientOutput) {
+        self.retried = 0;
         let flow = self.flow();
         if let Some(open) = &self.open
             && open.requests >= self.settings.requests_a_flow
@@ -344,8 +354,22 @@
         if matches!(self.state, State::Resting { .. }) && !open {
             return;
         }
-        output.events.push(ClientEvent::Reset { flow, open });
+        let first_tried = match &self.state {
+            State::Waiting { since, .. } if self.retried < self.settings.retries => Some(*since),
+            _ => None,
+        };
+        output.events.push(ClientEvent::Reset {
+            flow,
+            open,
+            retried: first_tried.is_some(),
+        });
         self.open = None;
+        if let Some(first_tried) = first_tried {
+            self.retried += 1;
+            self.begin(now, first_tried, output);
+            return;
+        }
+        self.retried = 0;
         self.state = State::Resting {
             until: now.after(self.settings.pause),
         };
@@ -363,6 +387,7 @@
             output.packets.push(end);
         }
         output.events.push(ClientEvent::GivenUp { flow, request });
+        self.retried = 0;
         self.state = State::Resting {
             until: now.after(self.settings.pause),
         };
--- a/crates/bellyoke-lab/src/cookie/packet.rs
+++ b/crates/bellyoke-lab/src/cookie/packet.rs
@@ -62,6 +62,7 @@
             flow: self.flow()?,
             role,
             cookie: Cookie::from_bits(self.echo),
+            data_sequence: (!self.data.is_empty()).then_some(self.sequence),
         })
     }
 
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -31,6 +31,8 @@
     NoSuspicion,
     /// Suspicions of peers count for nothing.
     NoHearsay,
+    /// Flows of dead instances are left to wait.
+    NoDeadReset,
     /// All nodes watch by stale reads.
     NoReader,
     /// Lists are read as the newest state.
--- a/crates/bellyoke-lab/src/cookie/world/clients.rs
+++ b/crates/bellyoke-lab/src/cookie/world/clients.rs
@@ -37,6 +37,7 @@
                     requests_a_flow,
                     pause,
                     deadline: Duration::from_millis(1_500),
+                    retries: if requests_a_flow > 1 { 2 } else { 0 },
                 };
                 let start = self.now.after(Duration::from_millis(
                     1_200 + self.random.random_range(0..300_u64),
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -376,6 +376,23 @@
     );
 }
 
+/// Flows that are open at a target that crashes: their clients would wait until they give up.
+#[test]
+fn open_flows_of_a_crashed_target_are_reset_while_their_clients_can_still_go_elsewhere() {
+    let mut scenario = Scenario {
+        short_clients: 90,
+        long_clients: 60,
+        ..calm()
+    };
+    for (at, target) in [(6_000, 0), (10_000, 1), (14_000, 2)] {
+        scenario = scenario.at(at, Action::Crash { target });
+    }
+    holds(&scenario, 0.9);
+    let left_to_wait = scenario.clone().without(Ablation::NoDeadReset);
+    let (with, without) = (failed(&scenario), failed(&left_to_wait));
+    assert!(with * 2 < without, "{with} failed, {without} without");
+}
+
 /// Many nodes see few openings each, so that each alone takes long to notice.
 #[test]
 fn nodes_notice_a_crashed_target_together() {
--- a/crates/bellyoke-node/src/connection/peers.rs
+++ b/crates/bellyoke-node/src/connection/peers.rs
@@ -79,16 +79,17 @@
                 ExchangeEffect::Fetch { from } => {
                     tokio::task::spawn_local(fetch(self.clone(), from));
                 }
-                ExchangeEffect::PeerJoined(peer) => {
-                    log_event(EventCode::PeerJoined, format_args!("peer={peer}"));
-                }
-                ExchangeEffect::PeerLost(peer) => {
-                    log_event(EventCode::PeerLost, format_args!("peer={peer}"));
-                }
+                ExchangeEffect::PeerJoined(peer) => self.log_peer(EventCode::PeerJoined, peer),
+                ExchangeEffect::PeerLost(peer) => self.log_peer(EventCode::PeerLost, peer),
             }
         }
     }
 
+    fn log_peer(&self, event: EventCode, peer: SocketAddrV4) {
+        let mut control = self.control.borrow_mut();
+        control.log_peer(event, peer);
+    }
+
     fn send_heartbeat(&self, to: SocketAddrV4, heartbeat: &Heartbeat) {
         let control = self.control.borrow();
         if let Ok(bytes) = heartbeat.encode(control.peer_key())
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -4,8 +4,7 @@
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
-use bellyoke_core::cookie::health::{HealthChange, HealthSettings};
-use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::health::{FailingInstance, HealthChange, HealthSettings};
 use bellyoke_core::cookie::packet::{Destination, FlowPacket, PacketCodec};
 use bellyoke_core::cookie::placement::Suitability;
 use bellyoke_core::cookie::stall::BacklogGuard;
@@ -141,7 +140,7 @@
                 }
                 self.send_to_instance(datagram, destination)
             }
-            Decision::Refuse(_) => self.send_reset(datagram, packet),
+            Decision::Refuse(_) | Decision::ResetDead { .. } => self.send_reset(datagram, packet),
             Decision::Drop(_) => Ok(()),
         };
         let outcome = PacketOutcome::from(&decision);
@@ -150,6 +149,9 @@
             Decision::Refuse(_) => {
                 self.log_flow(EventCode::FlowRefused, now, &table, packet, outcome);
             }
+            Decision::ResetDead { .. } => {
+                self.log_flow(EventCode::FlowReset, now, &table, packet, outcome);
+            }
             Decision::Drop(_) => {
                 self.log_flow(EventCode::PacketDropped, now, &table, packet, outcome);
             }
@@ -183,9 +185,9 @@
         self.next_review = now.after(REVIEW_INTERVAL);
         self.forwarder.set_hearsay(&self.shared.hearsay.load());
         self.log_health_changes(now, table);
-        let suspected: Vec<Cookie> = self.forwarder.suspected().collect();
-        if **self.shared.suspected.load() != suspected {
-            self.shared.suspected.store(Arc::new(suspected));
+        let failing: Vec<FailingInstance> = self.forwarder.failing_instances().collect();
+        if **self.shared.failing.load() != failing {
+            self.shared.failing.store(Arc::new(failing));
         }
     }
 
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -13,7 +13,8 @@
 };
 use bellyoke_core::cookie::follower::{Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
-use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use bellyoke_core::cookie::health::FailingInstance;
+use bellyoke_core::cookie::instance::{InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::readiness::{Lifecycle, Unready};
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, Versions};
 use bellyoke_core::cookie::revision::Revision;
@@ -45,7 +46,7 @@
     registry: Registry,
     metrics: ControlMetrics,
     limiter: LogLimiter,
-    told_suspected: Arc<Vec<Cookie>>,
+    told_failing: Arc<Vec<FailingInstance>>,
     was_ready: bool,
     last_duty: StoreDuty,
 }
@@ -77,7 +78,7 @@
             metrics: ControlMetrics::new(&mut registry),
             registry,
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
-            told_suspected: Arc::default(),
+            told_failing: Arc::default(),
             was_ready: false,
             last_duty: StoreDuty::Listener,
             shared,
@@ -293,12 +294,12 @@
     /// Tells peers at once of a new suspicion, and the traffic thread of theirs.
     fn exchange_suspicions(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
-        let suspected = self.shared.suspected.load_full();
-        if suspected != self.told_suspected {
-            effects = self.coordinator.set_suspected(now, suspected.to_vec());
-            self.told_suspected = suspected;
+        let failing = self.shared.failing.load_full();
+        if failing != self.told_failing {
+            effects = self.coordinator.set_failing(now, failing.to_vec());
+            self.told_failing = failing;
         }
-        let hearsay = self.coordinator.suspected_by_peers();
+        let hearsay = self.coordinator.hearsay();
         if **self.shared.hearsay.load() != hearsay {
             self.shared.hearsay.store(Arc::new(hearsay));
         }
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -5,6 +5,7 @@
 use bellyoke_core::cookie::replica::Source;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
+use std::net::SocketAddrV4;
 
 /// The gauge of the confirmation's age while there is none.
 const NEVER_CONFIRMED: i64 = -1;
@@ -21,6 +22,13 @@
         }
     }
 
+    /// A peer came or went. In a large cluster a node hears of many, so that these lines are
+    /// limited like all others.
+    pub fn log_peer(&mut self, event: EventCode, peer: SocketAddrV4) {
+        let now = self.clock.now();
+        self.limiter.log(event, now, format_args!("peer={peer}"));
+    }
+
     pub(super) fn note_duty(&mut self, now: Timestamp) {
         let duty = self.coordinator.duty(now);
         if duty != self.last_duty {
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -2,12 +2,11 @@
 
 use crate::packet::PacketCounters;
 use arc_swap::ArcSwap;
-use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::health::{FailingInstance, Hearsay};
 use bellyoke_core::cookie::stall::TickReport;
 use bellyoke_core::cookie::table::ForwardingTable;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
-use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Written by the control thread, read by all.
@@ -19,10 +18,10 @@
     pub table: ArcSwap<ForwardingTable>,
     /// Counts of packets.
     pub packets: PacketCounters,
-    /// Instances that the traffic thread suspects, for peers.
-    pub suspected: ArcSwap<Vec<Cookie>>,
-    /// Instances that peers suspect, for the traffic thread.
-    pub hearsay: ArcSwap<BTreeSet<Cookie>>,
+    /// Instances that fail the traffic thread's openings, for peers.
+    pub failing: ArcSwap<Vec<FailingInstance>>,
+    /// What peers say of instances, for the traffic thread.
+    pub hearsay: ArcSwap<Hearsay>,
     last_tick: AtomicU64,
     stalls: AtomicU64,
 }
@@ -34,7 +33,7 @@
         Self {
             table: ArcSwap::default(),
             packets,
-            suspected: ArcSwap::default(),
+            failing: ArcSwap::default(),
             hearsay: ArcSwap::default(),
             last_tick: AtomicU64::new(clock.now().as_micros()),
             stalls: AtomicU64::new(0),
