Tell by deltas also what came and went unseen

Two causes, both where states in between are in no answer that the sender got: 1. An instance that was gone, came back and went again within one answer kept the revision at which it first went. 2. After a whole list, a node told peers that nothing had changed since its last change (confirm); a peer that knew a revision in between took its own state for the newest.

Ruled out: resetting the tombstone's age alone, which leaves the second cause.

--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -89,8 +89,12 @@
             return false;
         }
         let mut changed = self.as_of.is_none();
-        // What came and went since the last revision known is in no list.
-        self.complete_since = at;
+        if self.as_of != Some(at) {
+            // What came and went since the last revision known is in no list: peers that know
+            // a revision in between can't be told by a delta, nor that nothing has changed.
+            self.complete_since = at;
+            self.changed_at = at;
+        }
         let listed: BTreeSet<InstanceId> = records.iter().map(|record| record.id).collect();
         for known in self.known.values_mut() {
             if !listed.contains(&known.record.id) && known.gone_at.is_none() {
@@ -274,6 +278,12 @@
                 known.gone_revision = at;
                 true
             }
+            (Some(known), Some(record)) => {
+                known.record = record;
+                known.gone_at = Some(now);
+                known.gone_revision = at;
+                true
+            }
             (None, Some(record)) => {
                 let instance = KnownInstance {
                     record,
--- a/crates/bellyoke-core/tests/cookie/directory.rs
+++ b/crates/bellyoke-core/tests/cookie/directory.rs
@@ -331,6 +331,51 @@
         prop_assert_eq!(receiver.as_of(), expected.as_of());
     }
 
+    /// Whatever two nodes hear from the store and from each other, each holds what the store held
+    /// at the revision up to which it claims to know everything.
+    #[test]
+    fn a_directory_is_exact_at_its_revision(
+        steps in prop::collection::vec(step(), 1..24),
+        deeds in prop::collection::vec((0..5_u8, 0..2_usize, 0..24_usize), 1..24),
+    ) {
+        let history = history(&steps);
+        let mut nodes = [directory(), directory()];
+        for (deed, index, number) in deeds {
+            let end = number.min(history.len() - 1);
+            let [one, other] = &mut nodes;
+            let (node, peer) = if index == 0 { (one, other) } else { (other, one) };
+            match deed {
+                0 => {
+                    node.replace(at(0), history[end].0, history[end].2.clone());
+                }
+                1 => {
+                    let known = usize::try_from(node.as_of().unwrap_or_default().0).unwrap();
+                    if known > 0 && known <= end {
+                        let events = history[known..=end].iter().map(|(_, event, _)| event.clone());
+                        node.apply(at(0), history[end].0, events.collect());
+                    }
+                }
+                2 => {
+                    if let Some(delta) = peer.delta_since(at(0), Revision(number as u64)) {
+                        node.apply_delta(at(0), delta);
+                    }
+                }
+                3 => node.confirm(peer.changed_at(), peer.as_of().unwrap_or_default()),
+                _ => {
+                    if let Some(as_of) = peer.as_of() {
+                        node.replace(at(0), as_of, peer.records(at(0)));
+                    }
+                }
+            }
+            for node in &nodes {
+                if let Some(as_of) = node.as_of() {
+                    let held = &history[usize::try_from(as_of.0).unwrap() - 1].2;
+                    prop_assert_eq!(&node.records(at(0)), held);
+                }
+            }
+        }
+    }
+
     /// Whole lists and changes, however old and in whatever order, never take a node back, and
     /// the newest list always wins.
     #[test]
