Place new flows at the least busy of five

Cause: hashing alone spreads flows evenly only on average, and those that stay when others are replaced collect the long flows of all that go: in a core test 280 long flows over 14 instances, half of them replaced, leave 40 at the busiest (20 on average).

Change: load, a decaying count of packets by cookie in a bounded table (16 KB); an opening goes to the least busy of up to five instances by rendezvous rank, its copies to the next two ranks, so that they never lead back whatever the loads are by then. With fewer than seven equally good instances there are fewer choices, and with three or fewer none, since copies come first.

Ruled out: the least busy of all (an instance that has just come would get every new flow of every node); sharing loads between nodes (each spreads its own share evenly, so the sum is even).

Tests: forwarder::long_flows_stay_balanced_while_instances_are_replaced (failed at 40 before), placement::copies_reach_other_instances_whatever_the_loads and of_many_the_least_busy_....

--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -4,6 +4,7 @@
     FailingInstance, HealthChange, HealthSettings, Hearsay, OpeningMonitor,
 };
 use crate::cookie::instance::Cookie;
+use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
 use crate::cookie::packet::{Destination, FlowPacket, PacketRole};
 use crate::cookie::placement::{Suitability, choose_instance, choose_part};
 use crate::cookie::repeats::RepeatTable;
@@ -76,6 +77,7 @@
 pub struct Forwarder {
     monitor: OpeningMonitor,
     repeats: RepeatTable,
+    loads: LoadMeter,
 }
 
 impl Forwarder {
@@ -85,6 +87,7 @@
         Self {
             monitor: OpeningMonitor::new(settings),
             repeats: RepeatTable::default(),
+            loads: LoadMeter::default(),
         }
     }
 
@@ -147,15 +150,21 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let monitor = &self.monitor;
-        let chosen = choose_instance(table.candidates(part), flow_hash, attempt, |candidate| {
-            suitability(now, monitor, candidate)
-        });
+        let loads = &self.loads;
+        let chosen = choose_instance(
+            table.candidates(part),
+            flow_hash,
+            attempt,
+            |candidate| suitability(now, monitor, candidate),
+            |candidate| loads.load(now, candidate.cookie),
+        );
         let Some(chosen) = chosen else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let suitability = suitability(now, monitor, chosen).unwrap_or(Suitability::RecentlyGone);
         let destination = chosen.destination();
         self.monitor.opening(now, flow_hash, destination.cookie);
+        self.loads.count(now, destination.cookie, OPENING_WEIGHT);
         Decision::Place {
             destination,
             suitability,
@@ -173,6 +182,7 @@
         if self.waits_in_vain(now, packet, cookie) {
             return Decision::ResetDead { destination };
         }
+        self.loads.count(now, cookie, PACKET_WEIGHT);
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
         Decision::Follow {
             destination,
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/load.rs
@@ -0,0 +1,82 @@
+//! How busy each instance is with flows that this node forwards.
+//!
+//! The node holds no flows, so it counts packets: an exponentially decaying count for each
+//! cookie, in a bounded table. New flows go to the least busy of a few candidates (the power of
+//! two choices, Mitzenmacher 2001). A node sees only its own share of the traffic; where each spreads
+//! its share evenly, the sum is even.
+
+use crate::cookie::instance::Cookie;
+use crate::time::Timestamp;
+
+/// Cookies told apart; others share a place. A power of two, 16 bytes each.
+const PLACES: usize = 1_024;
+
+/// Time in which a count halves, seconds. Long flows send a few packets a second.
+const HALF_LIFE_SECONDS: f32 = 2.0;
+
+/// What an opening counts, in packets: about what a short flow sends.
+pub const OPENING_WEIGHT: f32 = 4.0;
+
+/// What a later packet counts.
+pub const PACKET_WEIGHT: f32 = 1.0;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayingCount {
+    value: f32,
+    counted_at: Timestamp,
+}
+
+impl DecayingCount {
+    fn value_at(&self, now: Timestamp) -> f32 {
+        let half_lives = now.since(self.counted_at).as_secs_f32() / HALF_LIFE_SECONDS;
+        self.value * (-half_lives).exp2()
+    }
+}
+
+/// Decaying counts of packets by cookie.
+///
+/// ```
+/// use bellyoke_core::cookie::instance::{Cookie, InstanceId};
+/// use bellyoke_core::cookie::load::{LoadMeter, PACKET_WEIGHT};
+/// use bellyoke_core::time::Timestamp;
+///
+/// let cookie = Cookie::of(InstanceId(7));
+/// let mut meter = LoadMeter::default();
+/// meter.count(Timestamp::from_micros(0), cookie, PACKET_WEIGHT);
+/// let later = Timestamp::from_micros(2_000_000);
+/// assert_eq!(meter.load(later, cookie), 0.5, "half of it after two seconds");
+/// ```
+#[derive(Debug)]
+pub struct LoadMeter {
+    places: Vec<DecayingCount>,
+}
+
+impl Default for LoadMeter {
+    fn default() -> Self {
+        Self {
+            places: vec![DecayingCount::default(); PLACES],
+        }
+    }
+}
+
+impl LoadMeter {
+    /// A packet for an instance was forwarded.
+    pub fn count(&mut self, now: Timestamp, cookie: Cookie, weight: f32) {
+        let place = &mut self.places[place_of(cookie)];
+        place.value = place.value_at(now) + weight;
+        place.counted_at = now;
+    }
+
+    /// How busy an instance is: packets of the last few seconds, the latest most.
+    #[must_use]
+    pub fn load(&self, now: Timestamp, cookie: Cookie) -> f32 {
+        self.places[place_of(cookie)].value_at(now)
+    }
+}
+
+/// Cookies that are consecutive numbers get places of their own.
+fn place_of(cookie: Cookie) -> usize {
+    let bits = cookie.bits();
+    let folded = bits ^ (bits >> 10) ^ (bits >> 20);
+    usize::try_from(folded).unwrap_or_default() & (PLACES - 1)
+}
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! Like the rest of the crate nothing here has a socket, clock or thread:
 //!
-//! * one packet: [`packet`] and [`forwarder`], with [`placement`] of new flows, [`health`] of
+//! * one packet: [`packet`] and [`forwarder`], with [`placement`] of new flows, [`load`] and [`health`] of
 //!   instances from the progress of openings, and [`repeats`] of data that nobody acknowledges;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
@@ -25,6 +25,7 @@
 pub mod freshness;
 pub mod health;
 pub mod instance;
+pub mod load;
 pub mod packet;
 pub mod placement;
 pub mod readiness;
--- a/crates/bellyoke-core/src/cookie/placement.rs
+++ b/crates/bellyoke-core/src/cookie/placement.rs
@@ -1,15 +1,21 @@
 //! The choice of an instance for a new flow.
 //!
-//! Weighted rendezvous: the flow's hash picks the service by weight, and the highest scores
-//! pick the instances, so that nodes with the same knowledge choose alike and a change of the
-//! instances moves only the flows that it has to. Copy `n` of an opening goes to rank `n`: if
-//! the first choice is dead, the second try reaches another one.
+//! The flow's hash picks the service by weight, and ranks the instances by rendezvous hashing. An
+//! opening goes to the least busy of the first few; its copies go to the next two, so that they
+//! reach another one if the first choice is dead, whatever the loads are by then.
 
 use crate::cookie::instance::InstanceId;
 use crate::cookie::table::{Candidate, ServicePart};
 
-/// Ranks that are told apart; later copies of an opening share the last.
-pub const RANKS: usize = 3;
+/// Copies of an opening that are told apart; later ones go where the last goes.
+const COPIES: usize = 2;
+
+/// Most instances of which the least busy is chosen. Fewer leave long flows at those that were
+/// there when others went; with all, an instance that has just come would get every new flow.
+pub const CHOICES: usize = 5;
+
+/// Ranks that are told apart: the choices of an opening, and one for each copy.
+const RANKS: usize = CHOICES + COPIES;
 
 /// How willing an instance is to take new flows. The order is that of preference.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,12 +52,14 @@
 
 /// The candidate for copy `attempt` of an opening; none without candidates.
 ///
-/// `suitability` says how willing each candidate is; those that it refuses are left out.
+/// `suitability` says how willing each candidate is; those that it refuses are left out. `load`
+/// says how busy one is.
 pub fn choose_instance(
     candidates: &[Candidate],
     flow_hash: u64,
     attempt: u32,
     mut suitability: impl FnMut(&Candidate) -> Option<Suitability>,
+    load: impl Fn(&Candidate) -> f32,
 ) -> Option<&Candidate> {
     let mut ranked: [Option<Ranked<'_>>; RANKS] = [None; RANKS];
     for candidate in candidates {
@@ -68,11 +76,36 @@
             },
         );
     }
-    let rank = usize::try_from(attempt).unwrap_or(RANKS).min(RANKS - 1);
-    let chosen = ranked[..=rank].iter().rev().flatten().next();
+    let best = ranked[0]?;
+    let equals = ranked.iter().flatten();
+    let equals = equals.filter(|other| other.suitability == best.suitability);
+    let choices = equals.count().saturating_sub(COPIES).clamp(1, CHOICES);
+    let chosen = match copies_before(attempt) {
+        0 => least_busy(&ranked[..choices], load),
+        copy => ranked[..choices + copy]
+            .iter()
+            .rev()
+            .flatten()
+            .next()
+            .copied(),
+    };
     chosen.map(|ranked| ranked.candidate)
 }
 
+/// Later copies go where the last goes.
+fn copies_before(attempt: u32) -> usize {
+    usize::try_from(attempt).unwrap_or(COPIES).min(COPIES)
+}
+
+/// The least busy of several; of equals the first.
+fn least_busy<'table>(
+    choices: &[Option<Ranked<'table>>],
+    load: impl Fn(&Candidate) -> f32,
+) -> Option<Ranked<'table>> {
+    let choices = choices.iter().flatten().copied();
+    choices.min_by(|one, other| load(one.candidate).total_cmp(&load(other.candidate)))
+}
+
 #[derive(Clone, Copy)]
 struct Ranked<'table> {
     suitability: Suitability,
--- a/crates/bellyoke-core/src/cookie/repeats.rs
+++ b/crates/bellyoke-core/src/cookie/repeats.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Flows that are remembered at once. A power of two; 24 bytes each.
-const PLACES: usize = 2_048;
+const PLACES: usize = 1_024;
 
 /// Copies that come sooner are duplicates of the network: senders wait 200 ms and longer.
 const SHORTEST_WAIT: Duration = Duration::from_millis(100);
--- a/crates/bellyoke-core/tests/cookie/forwarder.rs
+++ b/crates/bellyoke-core/tests/cookie/forwarder.rs
@@ -10,6 +10,7 @@
 use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::cookie::table::ForwardingTable;
 use proptest::prelude::*;
+use std::collections::BTreeMap;
 
 fn forwarder() -> Forwarder {
     Forwarder::new(HealthSettings::default())
@@ -384,3 +385,52 @@
         prop_assert_eq!(followed(decide(&replica.table(), &later(number, cookie))), instance);
     }
 }
+
+/// Long flows, half of whose instances are replaced one after the other: those that stay would
+/// collect the flows of all that go.
+#[test]
+fn long_flows_stay_balanced_while_instances_are_replaced() {
+    const FLOWS: u32 = 280;
+    let mut forwarder = forwarder();
+    let mut records: Vec<InstanceRecord> = (1..=14).map(|id| record(id, 1)).collect();
+    let mut replica = node(records.clone());
+    let mut table = replica.table();
+    let mut flows: Vec<Option<(u32, Cookie)>> = vec![None; 280];
+    let mut next_flow = 0;
+    for second in 0..40_u64 {
+        if second % 3 == 0 && second < 21 {
+            let replaced = usize::try_from(second / 3).unwrap();
+            let gone = Cookie::of(records[replaced].id);
+            records[replaced] = record(100 + second, 20 + second);
+            replica.replace_instances(at(second * 1_000), Revision(20 + second), records.clone());
+            table = replica.table();
+            for flow in flows
+                .iter_mut()
+                .filter(|flow| flow.is_some_and(|(_, at)| at == gone))
+            {
+                *flow = None;
+            }
+        }
+        for index in 0..FLOWS {
+            let now = at(second * 1_000 + u64::from(index) * 3);
+            let flow = &mut flows[usize::try_from(index).unwrap()];
+            if let Some((number, cookie)) = *flow {
+                forwarder.decide(now, &table, &later(number, cookie), false);
+            } else {
+                next_flow += 1;
+                let opening = opening(next_flow, 0);
+                let (_, cookie, _) = placed(forwarder.decide(now, &table, &opening, false));
+                forwarder.decide(now, &table, &later(next_flow, cookie), false);
+                *flow = Some((next_flow, cookie));
+            }
+        }
+    }
+    let mut counts: BTreeMap<Cookie, u32> = BTreeMap::new();
+    for (_, cookie) in flows.into_iter().flatten() {
+        *counts.entry(cookie).or_default() += 1;
+    }
+    let most = *counts.values().max().unwrap();
+    assert_eq!(counts.len(), 14);
+    // By hash alone 40 at the busiest; of two 29, of three 27.
+    assert!(most <= 26, "20 on average, {most} at the busiest");
+}
--- a/crates/bellyoke-core/tests/cookie/placement.rs
+++ b/crates/bellyoke-core/tests/cookie/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{at, configuration, flow, node, of_service, record};
 use bellyoke_core::cookie::instance::InstanceId;
-use bellyoke_core::cookie::placement::{Suitability, choose_instance, choose_part};
+use bellyoke_core::cookie::placement::{CHOICES, Suitability, choose_instance, choose_part};
 use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::cookie::table::{Candidate, ForwardingTable};
 use proptest::prelude::*;
@@ -17,7 +17,9 @@
 
 fn choose(table: &ForwardingTable, number: u32, attempt: u32) -> Option<InstanceId> {
     let all = |_: &Candidate| Some(Suitability::Full);
-    choose_instance(candidates(table), flow(number).hash(), attempt, all).map(|chosen| chosen.id)
+    let idle = |_: &Candidate| 0.0;
+    let hash = flow(number).hash();
+    choose_instance(candidates(table), hash, attempt, all, idle).map(|chosen| chosen.id)
 }
 
 #[test]
@@ -75,6 +77,60 @@
     }
 }
 
+/// Loads may change from one copy to the next: they never lead back to an instance that was tried.
+#[test]
+fn copies_reach_other_instances_whatever_the_loads() {
+    let all = |_: &Candidate| Some(Suitability::Full);
+    for instances in 3..=12 {
+        let table = node((1..=instances).map(|id| record(id, 1)).collect()).table();
+        for number in 0..200_u32 {
+            let chosen: std::collections::BTreeSet<_> = (0..3)
+                .map(|attempt| {
+                    let factor = ((number >> attempt) % 3) as f32;
+                    let load = |candidate: &Candidate| factor * candidate.id.0 as f32;
+                    let hash = flow(number).hash();
+                    let chosen = choose_instance(candidates(&table), hash, attempt, all, load);
+                    chosen.unwrap().id
+                })
+                .collect();
+            assert_eq!(chosen.len(), 3, "of {instances}");
+        }
+    }
+}
+
+#[test]
+fn of_many_the_least_busy_of_a_few_is_chosen_and_a_better_one_before_all() {
+    let table = node((1..=7).map(|id| record(id, 1)).collect()).table();
+    let load = |candidate: &Candidate| if candidate.id.0 == 2 { 1.0 } else { 5.0 };
+    let all = |_: &Candidate| Some(Suitability::Full);
+    let better = |candidate: &Candidate| {
+        Some(if candidate.id.0 == 1 {
+            Suitability::Full
+        } else {
+            Suitability::Cold
+        })
+    };
+    let mut idle_chosen = 0;
+    for number in 0..700 {
+        let hash = flow(number).hash();
+        let chosen = choose_instance(candidates(&table), hash, 0, all, load);
+        idle_chosen += u32::from(chosen.unwrap().id == InstanceId(2));
+        let chosen = choose_instance(candidates(&table), hash, 0, better, load);
+        assert_eq!(chosen.unwrap().id, InstanceId(1));
+    }
+    let expected = 100 * u32::try_from(CHOICES).unwrap();
+    assert!(idle_chosen.abs_diff(expected) < 50, "{idle_chosen} of 700");
+}
+
+#[test]
+fn of_two_instances_the_copies_reach_both() {
+    let table = node((1..=2).map(|id| record(id, 1)).collect()).table();
+    for number in 0..100 {
+        let chosen = [0, 1].map(|attempt| choose(&table, number, attempt).unwrap());
+        assert_ne!(chosen[0], chosen[1]);
+    }
+}
+
 #[test]
 fn a_copy_goes_to_the_last_rank_where_instances_are_few() {
     let table = node(vec![record(1, 1)]).table();
@@ -95,7 +151,7 @@
     for number in 0..200 {
         let hash = flow(number).hash();
         let chosen = [0, 1, 2].map(|attempt| {
-            choose_instance(candidates(&table), hash, attempt, suitability)
+            choose_instance(candidates(&table), hash, attempt, suitability, |_| 0.0)
                 .unwrap()
                 .id
                 .0
