--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/exchange/effect.rs
@@ -0,0 +1,35 @@
+//! What the exchange wants its host to do.
+
+use super::message::Heartbeat;
+use crate::cookie::replica::Versions;
+use std::net::SocketAddrV4;
+
+/// What the exchange wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExchangeEffect {
+    /// Send a heartbeat.
+    Send {
+        /// To whom.
+        to: SocketAddrV4,
+        /// What.
+        heartbeat: Heartbeat,
+    },
+    /// Send what a peer lacks; the heartbeat instead, if that is not known or too long.
+    SendDelta {
+        /// To whom.
+        to: SocketAddrV4,
+        /// What the peer knows.
+        known: Versions,
+        /// What else to send.
+        heartbeat: Heartbeat,
+    },
+    /// Fetch a snapshot.
+    Fetch {
+        /// From whom.
+        from: SocketAddrV4,
+    },
+    /// A peer was heard for the first time, or again.
+    PeerJoined(SocketAddrV4),
+    /// A peer was silent for too long, or has left.
+    PeerLost(SocketAddrV4),
+}
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -223,8 +223,7 @@
     ///
     /// [`EncodeError`] if it is too long for a peer to accept.
     pub fn encode(&self, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
-        let archive = serialize(self)?;
-        key.seal(HEARTBEAT_KIND, &archive, MAXIMUM_HEARTBEAT_LENGTH)
+        encode(self, key, HEARTBEAT_KIND, MAXIMUM_HEARTBEAT_LENGTH)
     }
 
     /// The heartbeat that `bytes` encode.
@@ -233,9 +232,7 @@
     ///
     /// [`DecodeError`] if they encode none, or one whose lists are too long.
     pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
-        let archive = key.open(HEARTBEAT_KIND, bytes, MAXIMUM_HEARTBEAT_LENGTH)?;
-        let heartbeat = rkyv::from_bytes::<Self, rkyv::rancor::Error>(&archive)
-            .map_err(|error| DecodeError::Invalid(error.to_string()))?;
+        let heartbeat: Self = decode(bytes, key, HEARTBEAT_KIND, MAXIMUM_HEARTBEAT_LENGTH)?;
         if heartbeat.peers.len() > Self::MAXIMUM_PEERS
             || heartbeat.claims.len() > WATCHERS
             || heartbeat.failing.len() > Self::MAXIMUM_FAILING
@@ -255,8 +252,7 @@
     ///
     /// [`EncodeError`] if it is too long for a datagram.
     pub fn encode(&self, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
-        let archive = serialize(self)?;
-        key.seal(DELTA_KIND, &archive, MAXIMUM_DATAGRAM_LENGTH)
+        encode(self, key, DELTA_KIND, MAXIMUM_DATAGRAM_LENGTH)
     }
 
     /// The message that `bytes` encode.
@@ -265,9 +261,7 @@
     ///
     /// [`DecodeError`] if they encode none.
     pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
-        let archive = key.open(DELTA_KIND, bytes, MAXIMUM_DATAGRAM_LENGTH)?;
-        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&archive)
-            .map_err(|error| DecodeError::Invalid(error.to_string()))
+        decode(bytes, key, DELTA_KIND, MAXIMUM_DATAGRAM_LENGTH)
     }
 }
 
@@ -278,8 +272,7 @@
     ///
     /// [`EncodeError`] if the serializer fails.
     pub fn encode(&self, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
-        let archive = serialize(self)?;
-        key.seal(FETCH_KIND, &archive, MAXIMUM_FETCH_LENGTH)
+        encode(self, key, FETCH_KIND, MAXIMUM_FETCH_LENGTH)
     }
 
     /// The request that `bytes` encode.
@@ -288,9 +281,7 @@
     ///
     /// [`DecodeError`] if they encode none.
     pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
-        let archive = key.open(FETCH_KIND, bytes, MAXIMUM_FETCH_LENGTH)?;
-        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&archive)
-            .map_err(|error| DecodeError::Invalid(error.to_string()))
+        decode(bytes, key, FETCH_KIND, MAXIMUM_FETCH_LENGTH)
     }
 }
 
@@ -300,8 +291,7 @@
 ///
 /// [`EncodeError`] if it is too long for a peer to accept.
 pub fn encode_snapshot(snapshot: &Snapshot, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
-    let archive = serialize(snapshot)?;
-    key.seal(SNAPSHOT_KIND, &archive, MAXIMUM_SNAPSHOT_LENGTH)
+    encode(snapshot, key, SNAPSHOT_KIND, MAXIMUM_SNAPSHOT_LENGTH)
 }
 
 /// The snapshot that `bytes` encode.
@@ -310,12 +300,16 @@
 ///
 /// [`DecodeError`] if they encode none.
 pub fn decode_snapshot(bytes: &[u8], key: &PeerKey) -> Result<Snapshot, DecodeError> {
-    let archive = key.open(SNAPSHOT_KIND, bytes, MAXIMUM_SNAPSHOT_LENGTH)?;
-    rkyv::from_bytes::<Snapshot, rkyv::rancor::Error>(&archive)
-        .map_err(|error| DecodeError::Invalid(error.to_string()))
+    decode(bytes, key, SNAPSHOT_KIND, MAXIMUM_SNAPSHOT_LENGTH)
 }
 
-fn serialize<Message>(message: &Message) -> Result<AlignedVec, EncodeError>
+/// Archives and seals a message.
+fn encode<Message>(
+    message: &Message,
+    key: &PeerKey,
+    kind: u8,
+    longest: usize,
+) -> Result<Vec<u8>, EncodeError>
 where
     Message: for<'a> rkyv::Serialize<
             rkyv::api::high::HighSerializer<
@@ -325,6 +319,24 @@
             >,
         >,
 {
-    rkyv::to_bytes::<rkyv::rancor::Error>(message)
-        .map_err(|error| EncodeError::Serializer(error.to_string()))
+    let archive = rkyv::to_bytes::<rkyv::rancor::Error>(message)
+        .map_err(|error| EncodeError::Serializer(error.to_string()))?;
+    key.seal(kind, &archive, longest)
+}
+
+/// Opens and validates a message.
+fn decode<Message>(
+    bytes: &[u8],
+    key: &PeerKey,
+    kind: u8,
+    longest: usize,
+) -> Result<Message, DecodeError>
+where
+    Message: Archive,
+    Message::Archived: for<'a> rkyv::bytecheck::CheckBytes<rkyv::api::high::HighValidator<'a, rkyv::rancor::Error>>
+        + Deserialize<Message, rkyv::api::high::HighDeserializer<rkyv::rancor::Error>>,
+{
+    let archive = key.open(kind, bytes, longest)?;
+    rkyv::from_bytes::<Message, rkyv::rancor::Error>(&archive)
+        .map_err(|error| DecodeError::Invalid(error.to_string()))
 }
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -14,19 +14,23 @@
 //! who takes part, so a sample of live peers is enough.
 
 mod candidates;
+mod effect;
 mod message;
 mod peers;
+mod settings;
+mod watching;
 
 pub use candidates::{CLAIM_LIFETIME, StoreDuty, WATCHERS, WatcherClaim};
+pub use effect::ExchangeEffect;
 pub use message::{
     DecodeError, DeltaMessage, EncodeError, FailingReport, FetchRequest, Heartbeat,
     MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH,
     MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey, decode_snapshot, encode_snapshot,
 };
 pub use peers::PeerRecord;
+pub use settings::ExchangeSettings;
 
-use crate::cookie::follower::{Freshness, WatchPlan};
-use crate::cookie::freshness::{FreshnessClock, ObjectKind};
+use crate::cookie::freshness::FreshnessClock;
 use crate::cookie::health::{FailingInstance, Hearsay};
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
@@ -40,84 +44,10 @@
 /// Peers that must agree that an instance fails.
 const WITNESSES: usize = 2;
 
-/// A confirmation is pushed on if it is newer by so much than the last one that was.
-const CONFIRMATION_STEP: Duration = Duration::from_millis(500);
-
-/// How long a claim must have been among the best before it counts.
-const CLAIM_PROBATION: Duration = Duration::from_secs(2);
-
-/// How long confirmations of peers count for nothing after this process stood still, since they
-/// may have waited in its socket.
-const DISTRUST: Duration = Duration::from_millis(300);
-
 /// Snapshots that a node fetches after its start though it is not behind: the store doesn't tell
 /// of instances that have gone, and the first peer may have started just now itself.
 const INTRODUCTIONS: u32 = 2;
 
-/// How the exchange is paced.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ExchangeSettings {
-    /// Mean time between two rounds of heartbeats.
-    pub period: Duration,
-    /// Peers that get a heartbeat each round.
-    pub fanout: usize,
-    /// Peers that are told at once of something new.
-    pub push_fanout: usize,
-    /// A peer that was silent for so long is forgotten.
-    pub peer_lifetime: Duration,
-    /// How long a node that is behind waits for the store to tell it, before it asks a peer.
-    pub patience: Duration,
-    /// Shortest time between two fetches.
-    pub fetch_interval: Duration,
-    /// How old the last confirmation may be before a node asks the store itself. Well below the
-    /// time within which a change must be in force.
-    pub freshness_bound: Duration,
-}
-
-impl Default for ExchangeSettings {
-    fn default() -> Self {
-        Self {
-            period: Duration::from_millis(500),
-            fanout: 2,
-            push_fanout: 3,
-            peer_lifetime: Duration::from_secs(10),
-            patience: Duration::from_millis(250),
-            fetch_interval: Duration::from_millis(300),
-            freshness_bound: Duration::from_millis(1_500),
-        }
-    }
-}
-
-/// What the exchange wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ExchangeEffect {
-    /// Send a heartbeat.
-    Send {
-        /// To whom.
-        to: SocketAddrV4,
-        /// What.
-        heartbeat: Heartbeat,
-    },
-    /// Send what a peer lacks; the heartbeat instead, if that is not known or too long.
-    SendDelta {
-        /// To whom.
-        to: SocketAddrV4,
-        /// What the peer knows.
-        known: Versions,
-        /// What else to send.
-        heartbeat: Heartbeat,
-    },
-    /// Fetch a snapshot.
-    Fetch {
-        /// From whom.
-        from: SocketAddrV4,
-    },
-    /// A peer was heard for the first time, or again.
-    PeerJoined(SocketAddrV4),
-    /// A peer was silent for too long, or has left.
-    PeerLost(SocketAddrV4),
-}
-
 /// The exchange of one node.
 #[derive(Debug)]
 pub struct Exchange {
@@ -285,65 +215,6 @@
         self.announce(now, own)
     }
 
-    /// Whether the store answered this node's last call, if it made one.
-    pub fn set_store_usable(&mut self, store_usable: bool) {
-        self.store_usable = store_usable;
-        if !store_usable {
-            self.withdraw_claim();
-        }
-    }
-
-    /// The store has confirmed this node's state of a kind.
-    pub fn store_confirmed(
-        &mut self,
-        now: Timestamp,
-        kind: ObjectKind,
-        own: Versions,
-    ) -> Vec<ExchangeEffect> {
-        let mut effects = Vec::new();
-        if now >= self.distrust_until {
-            self.clock.confirm(kind, now);
-            self.push_confirmation(now, own, &mut effects);
-        }
-        effects
-    }
-
-    /// The process stood still: what peers said meanwhile may be old.
-    pub fn stalled(&mut self, now: Timestamp) {
-        self.clock.forget();
-        self.distrust_until = now.after(DISTRUST);
-    }
-
-    /// How long ago this node's state was known to be the newest; none if it never was.
-    #[must_use]
-    pub fn confirmation_age(&self, now: Timestamp) -> Option<Duration> {
-        self.clock.age(now)
-    }
-
-    /// What this node reads of the store. A claim counts once it has stood for a while, so that
-    /// nodes that start or lose their watchers together don't all watch at once.
-    #[must_use]
-    pub fn duty(&self, now: Timestamp) -> StoreDuty {
-        let stood = self.claimed_since.map(|since| now.since(since));
-        if stood.is_some_and(|stood| stood >= CLAIM_PROBATION) {
-            self.claims.duty(self.own_address)
-        } else {
-            StoreDuty::Listener
-        }
-    }
-
-    /// How this node goes on reading objects of a kind.
-    #[must_use]
-    pub fn watch_plan(&self, now: Timestamp, kind: ObjectKind, own: Versions) -> WatchPlan {
-        match (self.duty(now), self.clock.confirmed_at(kind)) {
-            (StoreDuty::Reader, _) => WatchPlan::Watch(Freshness::Newest),
-            (StoreDuty::Listener, Some(confirmed_at)) if !own.is_empty() => {
-                WatchPlan::RestUntil(confirmed_at.after(self.settings.freshness_bound))
-            }
-            (StoreDuty::Backup | StoreDuty::Listener, _) => WatchPlan::Watch(Freshness::MayBeStale),
-        }
-    }
-
     /// Instances that don't complete the openings that this node sends itself. What it only
     /// heard of is not told on, so that a suspicion ends with those who saw it.
     pub fn set_failing(&mut self, mut failing: Vec<FailingInstance>) {
@@ -437,74 +308,6 @@
         reports.collect()
     }
 
-    fn renew_claim(&mut self, now: Timestamp) {
-        if self.store_usable && !self.leaving {
-            self.claims.note(self.own_address, now);
-        }
-        self.trim_claims(now);
-    }
-
-    fn note_claims(&mut self, now: Timestamp, claims: &[WatcherClaim]) {
-        for claim in claims {
-            let age = Duration::from_millis(u64::from(claim.age_milliseconds));
-            if claim.address != self.own_address && age < CLAIM_LIFETIME {
-                self.claims.note(claim.address, now.before(age));
-            }
-        }
-        self.trim_claims(now);
-    }
-
-    fn trim_claims(&mut self, now: Timestamp) {
-        self.claims.trim(now);
-        if !self.claims.holds(self.own_address) {
-            self.claimed_since = None;
-        } else {
-            self.claimed_since.get_or_insert(now);
-        }
-    }
-
-    fn withdraw_claim(&mut self) {
-        self.claims.withdraw(self.own_address);
-        self.claimed_since = None;
-    }
-
-    /// A peer that this node isn't behind was confirmed so long ago: so is this node.
-    fn hear_confirmation(
-        &mut self,
-        now: Timestamp,
-        age_milliseconds: Option<u32>,
-        own: Versions,
-        effects: &mut Vec<ExchangeEffect>,
-    ) {
-        let Some(age) = age_milliseconds else {
-            return;
-        };
-        if now < self.distrust_until {
-            return;
-        }
-        let age = Duration::from_millis(u64::from(age));
-        self.clock.confirm_all(now.before(age));
-        self.push_confirmation(now, own, effects);
-    }
-
-    /// Pushes the newest confirmation on, unless one about as new was pushed before.
-    fn push_confirmation(
-        &mut self,
-        now: Timestamp,
-        own: Versions,
-        effects: &mut Vec<ExchangeEffect>,
-    ) {
-        let Some(age) = self.clock.age(now) else {
-            return;
-        };
-        let confirmed_at = now.before(age);
-        if confirmed_at < self.told_confirmation.after(CONFIRMATION_STEP) {
-            return;
-        }
-        self.told_confirmation = confirmed_at;
-        effects.extend(self.announce(now, own));
-    }
-
     /// A node that is behind, or that doesn't know anybody, is answered; but not too often.
     fn reply(
         &mut self,
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/exchange/settings.rs
@@ -0,0 +1,37 @@
+//! How the exchange is paced.
+
+use std::time::Duration;
+
+/// How the exchange is paced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExchangeSettings {
+    /// Mean time between two rounds of heartbeats.
+    pub period: Duration,
+    /// Peers that get a heartbeat each round.
+    pub fanout: usize,
+    /// Peers that are told at once of something new.
+    pub push_fanout: usize,
+    /// A peer that was silent for so long is forgotten.
+    pub peer_lifetime: Duration,
+    /// How long a node that is behind waits for the store to tell it, before it asks a peer.
+    pub patience: Duration,
+    /// Shortest time between two fetches.
+    pub fetch_interval: Duration,
+    /// How old the last confirmation may be before a node asks the store itself. Well below the
+    /// time within which a change must be in force.
+    pub freshness_bound: Duration,
+}
+
+impl Default for ExchangeSettings {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_millis(500),
+            fanout: 2,
+            push_fanout: 3,
+            peer_lifetime: Duration::from_secs(10),
+            patience: Duration::from_millis(250),
+            fetch_interval: Duration::from_millis(300),
+            freshness_bound: Duration::from_millis(1_500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/exchange/watching.rs
@@ -0,0 +1,147 @@
+//! Who watches the store, and how long the others may rest.
+
+use super::candidates::{CLAIM_LIFETIME, StoreDuty, WatcherClaim};
+use super::{Exchange, ExchangeEffect};
+use crate::cookie::follower::{Freshness, WatchPlan};
+use crate::cookie::freshness::ObjectKind;
+use crate::cookie::replica::Versions;
+use crate::time::Timestamp;
+use std::time::Duration;
+
+/// A confirmation is pushed on if it is newer by so much than the last one that was.
+const CONFIRMATION_STEP: Duration = Duration::from_millis(500);
+
+/// How long a claim must have been among the best before it counts.
+const CLAIM_PROBATION: Duration = Duration::from_secs(2);
+
+/// How long confirmations of peers count for nothing after this process stood still, since they
+/// may have waited in its socket.
+const DISTRUST: Duration = Duration::from_millis(300);
+impl Exchange {
+    /// Whether the store answered this node's last call, if it made one.
+    pub fn set_store_usable(&mut self, store_usable: bool) {
+        self.store_usable = store_usable;
+        if !store_usable {
+            self.withdraw_claim();
+        }
+    }
+
+    /// The store has confirmed this node's state of a kind.
+    pub fn store_confirmed(
+        &mut self,
+        now: Timestamp,
+        kind: ObjectKind,
+        own: Versions,
+    ) -> Vec<ExchangeEffect> {
+        let mut effects = Vec::new();
+        if now >= self.distrust_until {
+            self.clock.confirm(kind, now);
+            self.push_confirmation(now, own, &mut effects);
+        }
+        effects
+    }
+
+    /// The process stood still: what peers said meanwhile may be old.
+    pub fn stalled(&mut self, now: Timestamp) {
+        self.clock.forget();
+        self.distrust_until = now.after(DISTRUST);
+    }
+
+    /// How long ago this node's state was known to be the newest; none if it never was.
+    #[must_use]
+    pub fn confirmation_age(&self, now: Timestamp) -> Option<Duration> {
+        self.clock.age(now)
+    }
+
+    /// What this node reads of the store. A claim counts once it has stood for a while, so that
+    /// nodes that start or lose their watchers together don't all watch at once.
+    #[must_use]
+    pub fn duty(&self, now: Timestamp) -> StoreDuty {
+        let stood = self.claimed_since.map(|since| now.since(since));
+        if stood.is_some_and(|stood| stood >= CLAIM_PROBATION) {
+            self.claims.duty(self.own_address)
+        } else {
+            StoreDuty::Listener
+        }
+    }
+
+    /// How this node goes on reading objects of a kind.
+    #[must_use]
+    pub fn watch_plan(&self, now: Timestamp, kind: ObjectKind, own: Versions) -> WatchPlan {
+        match (self.duty(now), self.clock.confirmed_at(kind)) {
+            (StoreDuty::Reader, _) => WatchPlan::Watch(Freshness::Newest),
+            (StoreDuty::Listener, Some(confirmed_at)) if !own.is_empty() => {
+                WatchPlan::RestUntil(confirmed_at.after(self.settings.freshness_bound))
+            }
+            (StoreDuty::Backup | StoreDuty::Listener, _) => WatchPlan::Watch(Freshness::MayBeStale),
+        }
+    }
+
+    pub(super) fn renew_claim(&mut self, now: Timestamp) {
+        if self.store_usable && !self.leaving {
+            self.claims.note(self.own_address, now);
+        }
+        self.trim_claims(now);
+    }
+
+    pub(super) fn note_claims(&mut self, now: Timestamp, claims: &[WatcherClaim]) {
+        for claim in claims {
+            let age = Duration::from_millis(u64::from(claim.age_milliseconds));
+            if claim.address != self.own_address && age < CLAIM_LIFETIME {
+                self.claims.note(claim.address, now.before(age));
+            }
+        }
+        self.trim_claims(now);
+    }
+
+    fn trim_claims(&mut self, now: Timestamp) {
+        self.claims.trim(now);
+        if !self.claims.holds(self.own_address) {
+            self.claimed_since = None;
+        } else {
+            self.claimed_since.get_or_insert(now);
+        }
+    }
+
+    pub(super) fn withdraw_claim(&mut self) {
+        self.claims.withdraw(self.own_address);
+        self.claimed_since = None;
+    }
+
+    /// A peer that this node isn't behind was confirmed so long ago: so is this node.
+    pub(super) fn hear_confirmation(
+        &mut self,
+        now: Timestamp,
+        age_milliseconds: Option<u32>,
+        own: Versions,
+        effects: &mut Vec<ExchangeEffect>,
+    ) {
+        let Some(age) = age_milliseconds else {
+            return;
+        };
+        if now < self.distrust_until {
+            return;
+        }
+        let age = Duration::from_millis(u64::from(age));
+        self.clock.confirm_all(now.before(age));
+        self.push_confirmation(now, own, effects);
+    }
+
+    /// Pushes the newest confirmation on, unless one about as new was pushed before.
+    fn push_confirmation(
+        &mut self,
+        now: Timestamp,
+        own: Versions,
+        effects: &mut Vec<ExchangeEffect>,
+    ) {
+        let Some(age) = self.clock.age(now) else {
+            return;
+        };
+        let confirmed_at = now.before(age);
+        if confirmed_at < self.told_confirmation.after(CONFIRMATION_STEP) {
+            return;
+        }
+        self.told_confirmation = confirmed_at;
+        effects.extend(self.announce(now, own));
+    }
+}
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -40,6 +40,15 @@
     }
 }
 
+/// Requests that waited for a copy of their opening, or longer.
+fn slow(scenario: &Scenario) -> usize {
+    let slow = |report: Report| {
+        let latencies = report.latencies.into_iter();
+        latencies.filter(|latency| *latency >= ms(200)).count()
+    };
+    SEEDS.map(|seed| slow(play(scenario.clone(), seed))).sum()
+}
+
 fn failed(scenario: &Scenario) -> u64 {
     SEEDS.map(|seed| play(scenario.clone(), seed).failed).sum()
 }
@@ -369,20 +378,8 @@
         ..calm()
     }
     .at(8_000, Action::Crash { target: 0 });
-    let slow = |ablation| {
-        let mut scenario = scenario.clone();
-        scenario.ablations.extend(ablation);
-        let reports = SEEDS.map(|seed| play(scenario.clone(), seed));
-        let slow = reports.map(|report| {
-            report
-                .latencies
-                .iter()
-                .filter(|latency| **latency >= ms(200))
-                .count()
-        });
-        slow.sum::<usize>()
-    };
-    let (with, without) = (slow(None), slow(Some(Ablation::NoSuspicion)));
+    let unsuspecting = scenario.clone().without(Ablation::NoSuspicion);
+    let (with, without) = (slow(&scenario), slow(&unsuspecting));
     assert!(
         with * 2 < without,
         "{with} slow openings with suspicion, {without} without"
@@ -419,14 +416,6 @@
         scenario = scenario.at(8_000, Action::Crash { target });
     }
     scenario = scenario.at(7_900, Action::Store(StoreMode::Silent));
-    let slow = |scenario: &Scenario| {
-        let reports = SEEDS.map(|seed| play(scenario.clone(), seed));
-        let slow = |report: Report| {
-            let latencies = report.latencies.into_iter();
-            latencies.filter(|latency| *latency >= ms(200)).count()
-        };
-        reports.map(slow).sum::<usize>()
-    };
     let by_hash = scenario.clone().without(Ablation::NoLoad);
     let (by_load, by_hash) = (slow(&scenario), slow(&by_hash));
     assert!(
@@ -451,17 +440,6 @@
     }
     // The store notices nothing.
     scenario = scenario.at(7_900, Action::Store(StoreMode::Silent));
-    let slow = |scenario: &Scenario| {
-        let reports = SEEDS.map(|seed| play(scenario.clone(), seed));
-        let slow = reports.map(|report| {
-            report
-                .latencies
-                .iter()
-                .filter(|latency| **latency >= ms(200))
-                .count()
-        });
-        slow.sum::<usize>()
-    };
     let (together, alone) = (
         slow(&scenario),
         slow(&scenario.clone().without(Ablation::NoHearsay)),
