Start a thousand nodes by three seeds in the test, so that it fails without the room that a speaker gets

With 400 nodes the test of the seeds also passed where a full table leaves who speaks out (a mutation tried on a clone); with 1,000 it fails there (1 of 1,000 learns) and holds with the mend.

--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -328,10 +328,10 @@
 /// More nodes start than a table of peers holds, all by the same seeds.
 #[test]
 fn seeds_answer_every_node_of_a_large_cluster_that_starts() {
-    let mut cluster = Cluster::new(400);
-    cluster.learn(399, 5);
+    let mut cluster = Cluster::new(1_000);
+    cluster.learn(999, 5);
     cluster.run(2_500);
-    assert_eq!(cluster.knowing(5), 400);
+    assert_eq!(cluster.knowing(5), 1_000);
 }
 
 #[test]
