--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -27,7 +27,8 @@
     pub effects: Vec<ExchangeEffect>,
 }
 
-/// The control state of one node.
+/// The control state of one node. Its clock must not start near zero: peers tell ages that may be
+/// greater than that of the process.
 ///
 /// ```
 /// use bellyoke_core::cookie::coordinator::Coordinator;
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -546,6 +546,46 @@
     assert_eq!(plan, WatchPlan::RestUntil(at(4_450 + 1_500)));
 }
 
+/// Ages that a node is told may be greater than its own: it must neither rest on an old
+/// confirmation nor renew a dead node's claim.
+#[test]
+fn a_node_that_has_just_started_makes_nothing_younger() {
+    const START: u64 = 100_000;
+    let exchange = Exchange::new(ExchangeSettings::default(), address(9), Vec::new(), 1);
+    let mut newborn = Coordinator::new(Replica::new(TOMBSTONE_LIFETIME), exchange);
+    newborn.tick(at(START));
+    let peer = watched(3).nodes.remove(&address(0)).unwrap().coordinator;
+    newborn.snapshot(at(START), peer.replica().snapshot(at(0)));
+    let heartbeat = Heartbeat {
+        versions: peer.replica().versions(),
+        leaving: false,
+        confirmed_age_milliseconds: Some(3_000),
+        claims: vec![WatcherClaim {
+            address: address(77),
+            age_milliseconds: 4_900,
+        }],
+        peers: Vec::new(),
+        failing: Vec::new(),
+    };
+    let datagram = PeerDatagram::Heartbeat(heartbeat);
+    newborn.datagram(at(START + 50), address(0), datagram);
+    let plan = newborn.watch_plan(at(START + 60), ObjectKind::Instances);
+    assert!(matches!(plan, WatchPlan::RestUntil(until) if until <= at(START + 60)));
+    let (outcome, _) = newborn.tick(at(START + 200));
+    let told = outcome
+        .effects
+        .into_iter()
+        .chain(newborn.leave(at(START + 210)));
+    let claims = told.filter_map(|effect| match effect {
+        ExchangeEffect::Send { heartbeat, .. } => Some(heartbeat.claims),
+        _ => None,
+    });
+    let dead = claims
+        .flatten()
+        .filter(|claim| claim.address == address(77));
+    assert!(dead.clone().all(|claim| claim.age_milliseconds >= 4_900));
+}
+
 #[test]
 fn a_listener_that_hears_nothing_watches_by_stale_reads() {
     let cluster = watched(5);
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -22,6 +22,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
+/// Long before the run peers may have learned what they tell ages of.
+const CLOCK_START: Timestamp = Timestamp::from_micros(24 * 3_600 * 1_000_000);
+
 /// One way, between any two.
 const DELAY: Duration = Duration::from_millis(1);
 
@@ -155,7 +158,7 @@
         let router = Router::new(scenario.hash, scenario.nodes);
         let mut world = Self {
             router,
-            now: Timestamp::from_micros(1_000_000),
+            now: CLOCK_START,
             events: BTreeMap::new(),
             next_event: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -15,6 +15,7 @@
 use bellyoke_core::cookie::follower::FollowerSettings;
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::packet::PacketCodec;
+use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
 use bellyoke_process::log::{log_event, start_non_blocking_log};
 use bellyoke_process::settings::{CommandLine, Override, Problems};
@@ -36,6 +37,10 @@
 /// a signal.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 
+/// What the process's clock shows at its start. Peers tell ages, of confirmations, claims and gone
+/// instances, and what is older than this process must not look younger.
+const CLOCK_START: Timestamp = Timestamp::from_micros(24 * 3_600 * 1_000_000);
+
 /// Runs the daemon with an adapter's packet format and store. Returns the exit status: the
 /// group of the result code, or 0.
 pub fn run<Codec, S>(
@@ -133,7 +138,7 @@
     Codec: PacketCodec,
     S: Store,
 {
-    let clock = MonotonicClock::start();
+    let clock = MonotonicClock::start_at(CLOCK_START);
     let mut signals = Signals::take()?;
     let mut registry = Registry::with_prefix("bellyoke");
     let packets = PacketCounters::new(&mut registry);
