--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -503,6 +503,32 @@
     assert_eq!(gone, [5], "instance 5 went before it started");
 }
 
+/// After a kill of all, peers have nothing to tell: they must not use up the fetches by which a
+/// node learns of gone instances.
+#[test]
+fn a_peer_that_knows_nothing_is_no_introduction() {
+    let exchange = Exchange::new(ExchangeSettings::default(), address(9), Vec::new(), 1);
+    let mut node = Coordinator::new(Replica::new(TOMBSTONE_LIFETIME), exchange);
+    for _ in 0..5 {
+        let nothing = Replica::new(TOMBSTONE_LIFETIME).snapshot(at(0));
+        node.snapshot(at(100), nothing);
+    }
+    let peer = watched(3).nodes.remove(&address(0)).unwrap().coordinator;
+    node.snapshot(at(200), peer.replica().snapshot(at(0)));
+    let heartbeat = Heartbeat {
+        versions: peer.replica().versions(),
+        leaving: false,
+        confirmed_age_milliseconds: None,
+        claims: Vec::new(),
+        peers: Vec::new(),
+        failing: Vec::new(),
+    };
+    let datagram = PeerDatagram::Heartbeat(heartbeat);
+    let outcome = node.datagram(at(300), address(0), datagram);
+    let fetch = ExchangeEffect::Fetch { from: address(0) };
+    assert!(outcome.effects.contains(&fetch), "one introduction is left");
+}
+
 #[test]
 fn after_a_stall_the_word_of_peers_that_waited_counts_for_nothing() {
     let cluster = watched(3);
