Reset no open flow: a full link looks like a dead target

Ruled out: more witnesses, who share the fault; the record in the store as proof of life, which outlives a crash by three heartbeats. So they go, with the table of repeats, the ages of failures in heartbeats (peer protocol 3) and BE805.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -110,7 +110,6 @@
     FlowRefused = 802, Info, "A new flow was answered with a reset, since no instance can take it; nothing of it has run.";
     PacketDropped = 803, Info, "A packet was dropped; the reason says why.";
     PacketSendFailed = 804, Warn, "A packet could not be sent.";
-    FlowReset = 805, Warn, "An open flow was reset: its client repeats data to an instance that is held dead; what ran there may have run.";
     InstanceSuspected = 811, Warn, "Openings sent to an instance came to nothing; others are preferred.";
     InstanceRecovered = 812, Info, "A flow opened at an instance that was suspected.";
     InstancesChanged = 813, Info, "Instances came, went or changed.";
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -8,13 +8,13 @@
 };
 use crate::cookie::follower::{Update, WatchPlan};
 use crate::cookie::freshness::ObjectKind;
-use crate::cookie::health::{FailingInstance, Hearsay};
-use crate::cookie::instance::{InstanceEvent, InstanceRecord};
+use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
 use crate::cookie::replica::{Replica, Snapshot, StateChange, Versions};
 use crate::cookie::revision::Revision;
 use crate::cookie::route::Configuration;
 use crate::cookie::stall::StallDetector;
 use crate::time::Timestamp;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -197,19 +197,15 @@
     }
 
     /// Instances that fail the openings that this node sends. Tells peers of a change at once.
-    pub fn set_failing(
-        &mut self,
-        now: Timestamp,
-        failing: Vec<FailingInstance>,
-    ) -> Vec<ExchangeEffect> {
+    pub fn set_failing(&mut self, now: Timestamp, failing: Vec<Cookie>) -> Vec<ExchangeEffect> {
         self.exchange.set_failing(failing);
         self.exchange.announce(now, self.replica.versions())
     }
 
-    /// What peers say of instances.
+    /// Instances that peers suspect.
     #[must_use]
-    pub fn hearsay(&self) -> Hearsay {
-        self.exchange.hearsay()
+    pub fn peer_suspicions(&self) -> BTreeSet<Cookie> {
+        self.exchange.peer_suspicions()
     }
 
     /// The node leaves: tells a few peers.
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 
 /// Version of the peer protocol of nodes that forward by cookie.
-const PROTOCOL_VERSION: u8 = 2;
+const PROTOCOL_VERSION: u8 = 3;
 
 /// Kind byte of a heartbeat.
 const HEARTBEAT_KIND: u8 = 1;
@@ -55,17 +55,8 @@
     pub claims: Vec<WatcherClaim>,
     /// Some peers that it has heard of late.
     pub peers: Vec<SocketAddrV4>,
-    /// Instances that don't complete the openings that it sends itself.
-    pub failing: Vec<FailingReport>,
-}
-
-/// An instance that fails a peer's openings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
-pub struct FailingReport {
-    /// The instance's cookie.
-    pub cookie: u32,
-    /// How long ago the last one failed, milliseconds.
-    pub age_milliseconds: u32,
+    /// Cookies of instances that don't complete the openings that it sends itself.
+    pub failing: Vec<u32>,
 }
 
 /// What a peer that knew a little less needs to know.
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -23,21 +23,22 @@
 pub use candidates::{CLAIM_LIFETIME, StoreDuty, WATCHERS, WatcherClaim};
 pub use effect::ExchangeEffect;
 pub use message::{
-    DecodeError, DeltaMessage, EncodeError, FailingReport, FetchRequest, Heartbeat,
-    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH,
-    MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey, decode_snapshot, encode_snapshot,
+    DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
+    MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey,
+    decode_snapshot, encode_snapshot,
 };
 pub use peers::PeerRecord;
 pub use settings::ExchangeSettings;
 
 use crate::cookie::freshness::FreshnessClock;
-use crate::cookie::health::{FailingInstance, Hearsay};
+use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
 use candidates::ClaimTable;
 use peers::PeerTable;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -69,7 +70,7 @@
     told_confirmation: Timestamp,
     distrust_until: Timestamp,
     introductions: u32,
-    failing: Vec<FailingInstance>,
+    failing: Vec<Cookie>,
 }
 
 impl Exchange {
@@ -217,19 +218,16 @@
 
     /// Instances that don't complete the openings that this node sends itself. What it only
     /// heard of is not told on, so that a suspicion ends with those who saw it.
-    pub fn set_failing(&mut self, mut failing: Vec<FailingInstance>) {
+    pub fn set_failing(&mut self, mut failing: Vec<Cookie>) {
         failing.truncate(Heartbeat::MAXIMUM_FAILING);
         self.failing = failing;
     }
 
-    /// What peers say of instances. Several must agree before one is suspected: one alone may be
+    /// Instances that peers suspect. Several must agree before one counts: one alone may be
     /// cut off from it itself.
     #[must_use]
-    pub fn hearsay(&self) -> Hearsay {
-        Hearsay {
-            suspected: self.peers.suspected(WITNESSES),
-            failures: self.peers.failures().collect(),
-        }
+    pub fn peer_suspicions(&self) -> BTreeSet<Cookie> {
+        self.peers.suspected(WITNESSES)
     }
 
     /// A snapshot of a peer with these versions was taken over.
@@ -295,19 +293,10 @@
             peers: self
                 .peers
                 .sample_for(to, Heartbeat::MAXIMUM_PEERS, &mut self.random),
-            failing: self.failing_reports(now),
+            failing: self.failing.iter().map(|cookie| cookie.bits()).collect(),
         }
     }
 
-    fn failing_reports(&self, now: Timestamp) -> Vec<FailingReport> {
-        let failing = self.failing.iter();
-        let reports = failing.map(|failing| FailingReport {
-            cookie: failing.cookie.bits(),
-            age_milliseconds: milliseconds_since(now, failing.failed_at),
-        });
-        reports.collect()
-    }
-
     /// A node that is behind, or that doesn't know anybody, is answered; but not too often.
     fn reply(
         &mut self,
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -1,7 +1,6 @@
 //! The peers that a node has heard of late.
 
-use super::message::{FailingReport, Heartbeat};
-use crate::cookie::health::FailingInstance;
+use super::message::Heartbeat;
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
@@ -28,7 +27,7 @@
     /// How much it knows.
     pub versions: Versions,
     /// Instances that don't complete its openings.
-    pub failing: Vec<FailingInstance>,
+    pub failing: Vec<Cookie>,
     replied_at: Option<Timestamp>,
 }
 
@@ -66,7 +65,7 @@
         record.versions = heartbeat.versions;
         let failing = heartbeat.failing.iter();
         record.failing = failing
-            .filter_map(|report| failing_instance(now, report))
+            .filter_map(|bits| Cookie::from_bits(*bits))
             .collect();
         !std::mem::replace(&mut record.heard, true)
     }
@@ -122,19 +121,13 @@
         let heard = self.records.values().filter(|record| record.heard);
         let witnesses = witnesses.min(heard.clone().count());
         let mut counts: BTreeMap<Cookie, usize> = BTreeMap::new();
-        for failing in heard.flat_map(|record| &record.failing) {
-            *counts.entry(failing.cookie).or_default() += 1;
+        for cookie in heard.flat_map(|record| &record.failing) {
+            *counts.entry(*cookie).or_default() += 1;
         }
         let enough = counts.into_iter().filter(|(_, count)| *count >= witnesses);
         enough.map(|(cookie, _)| cookie).collect()
     }
 
-    /// Each failing instance of each peer.
-    pub(super) fn failures(&self) -> impl Iterator<Item = FailingInstance> {
-        let heard = self.records.values().filter(|record| record.heard);
-        heard.flat_map(|record| record.failing.iter().copied())
-    }
-
     pub(super) fn sample(&self, count: usize, random: &mut impl Rng) -> Vec<SocketAddrV4> {
         self.records.keys().copied().sample(random, count)
     }
@@ -200,11 +193,3 @@
         }
     }
 }
-
-fn failing_instance(now: Timestamp, report: &FailingReport) -> Option<FailingInstance> {
-    let age = Duration::from_millis(u64::from(report.age_milliseconds));
-    Some(FailingInstance {
-        cookie: Cookie::from_bits(report.cookie)?,
-        failed_at: now.before(age),
-    })
-}
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,25 +1,19 @@
 //! The decision for each packet.
 
-use crate::cookie::health::{
-    FailingInstance, HealthChange, HealthSettings, Hearsay, OpeningMonitor,
-};
+use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
 use crate::cookie::packet::{Destination, FlowPacket, PacketRole};
 use crate::cookie::placement::{Suitability, choose_instance, choose_part};
-use crate::cookie::repeats::{DataNotice, RepeatTable};
 use crate::cookie::table::{Candidate, ForwardingTable};
 use crate::time::Timestamp;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// How long after its record went an instance is still better than no instance. Shorter than
 /// the time within which a leaving instance must get no new flow.
 pub const RECENTLY_GONE: Duration = Duration::from_millis(1_500);
 
-/// Copies of the same data after which a flow of an instance that is held dead is reset. Senders
-/// send them after 200 and another 400 ms: one alone may have been lost.
-pub const REPEATS_BEFORE_RESET: u32 = 2;
-
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -39,12 +33,6 @@
     },
     /// Answer with a reset.
     Refuse(RefusalReason),
-    /// Answer with a reset, though the flow is open: its instance is dead, and its client would
-    /// wait in vain. What ran there may have run.
-    ResetDead {
-        /// The instance that is held dead.
-        destination: Destination,
-    },
     /// Do nothing.
     Drop(DropReason),
 }
@@ -76,7 +64,6 @@
 #[derive(Debug)]
 pub struct Forwarder {
     monitor: OpeningMonitor,
-    repeats: RepeatTable,
     loads: LoadMeter,
 }
 
@@ -86,7 +73,6 @@
     pub fn new(settings: HealthSettings) -> Self {
         Self {
             monitor: OpeningMonitor::new(settings),
-            repeats: RepeatTable::default(),
             loads: LoadMeter::default(),
         }
     }
@@ -117,19 +103,18 @@
     }
 
     /// Instances that fail the openings of this thread.
-    pub fn failing_instances(&self) -> impl Iterator<Item = FailingInstance> {
+    pub fn failing_instances(&self) -> impl Iterator<Item = Cookie> {
         self.monitor.failing_instances()
     }
 
-    /// What peers say of instances.
-    pub fn set_hearsay(&mut self, hearsay: &Hearsay) {
-        self.monitor.set_hearsay(hearsay);
+    /// Instances that peers suspect.
+    pub fn set_peer_suspicions(&mut self, suspected: &BTreeSet<Cookie>) {
+        self.monitor.set_peer_suspicions(suspected);
     }
 
     /// The process stood still: openings under way prove nothing.
     pub fn stalled(&mut self) {
         self.monitor.forget_pending();
-        self.repeats.forget();
     }
 
     fn open(
@@ -186,9 +171,6 @@
             return Decision::Drop(DropReason::UnknownCookie);
         };
         let destination = *destination;
-        if self.waits_in_vain(now, packet, cookie) {
-            return Decision::ResetDead { destination };
-        }
         self.loads.count(now, cookie, PACKET_WEIGHT);
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
         Decision::Follow {
@@ -196,23 +178,6 @@
             opened_after,
         }
     }
-
-    /// Whether a client repeats its data to an instance that is held dead.
-    fn waits_in_vain(&mut self, now: Timestamp, packet: &FlowPacket, cookie: Cookie) -> bool {
-        let Some(sequence) = packet.data_sequence else {
-            return false;
-        };
-        match self.repeats.note(now, packet.flow.hash(), sequence) {
-            DataNotice::Unknown => false,
-            DataNotice::Newer => {
-                self.monitor.flow_went_on(now, cookie);
-                false
-            }
-            DataNotice::Repeated(times) => {
-                times >= REPEATS_BEFORE_RESET && self.monitor.is_held_dead(now, cookie)
-            }
-        }
-    }
 }
 
 /// How willing a candidate is to take a flow at `now`; none if it must not get one.
--- a/crates/bellyoke-core/src/cookie/health.rs
+++ b/crates/bellyoke-core/src/cookie/health.rs
@@ -26,13 +26,6 @@
     pub suspicion: Duration,
     /// Longest time between two trials.
     pub longest_suspicion: Duration,
-    /// How old the last failure of an instance that is held dead may be. Shorter than the time
-    /// that an instance counts as disturbed after its disruption: one that is well again, and
-    /// not tried yet, must not lose its flows.
-    pub proof_lifetime: Duration,
-    /// How long an instance that is held dead must have shown no progress on any flow of this
-    /// node. Not longer than it takes until a client's data comes the third time.
-    pub silence: Duration,
 }
 
 impl Default for HealthSettings {
@@ -43,33 +36,10 @@
             failure_threshold: 2,
             suspicion: Duration::from_secs(2),
             longest_suspicion: Duration::from_secs(16),
-            proof_lifetime: Duration::from_secs(2),
-            silence: Duration::from_millis(550),
         }
     }
 }
 
-/// An instance that fails openings, as the node saw it that sent them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FailingInstance {
-    /// The instance.
-    pub cookie: Cookie,
-    /// When the last one failed.
-    pub failed_at: Timestamp,
-}
-
-/// What peers say of instances.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Hearsay {
-    /// Instances that enough of them suspect.
-    pub suspected: BTreeSet<Cookie>,
-    /// Each failing instance of each peer.
-    pub failures: Vec<FailingInstance>,
-}
-
-/// Nodes that must have seen openings fail just now before an instance is held dead.
-const DEATH_WITNESSES: usize = 2;
-
 /// Openings watched at once; further ones are placed without being watched.
 pub const MAXIMUM_PENDING_OPENINGS: usize = 4_096;
 
@@ -99,7 +69,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct InstanceHealth {
     failures: u32,
-    failed_at: Timestamp,
     failed_trials: u32,
     trial_under_way: bool,
     suspected_until: Timestamp,
@@ -112,11 +81,10 @@
     pending: BTreeMap<u64, PendingOpening>,
     /// Flow hashes by the time of their opening, the oldest first.
     order: VecDeque<(Timestamp, u64)>,
-    hearsay: Hearsay,
+    /// Instances that peers suspect.
+    peer_suspicions: BTreeSet<Cookie>,
     /// When an opening last succeeded.
     succeeded_at: BTreeMap<Cookie, Timestamp>,
-    /// When a client last went on with a flow.
-    progressed_at: BTreeMap<Cookie, Timestamp>,
     /// Instances whose last opening failed.
     failing: BTreeMap<Cookie, InstanceHealth>,
     changes: Vec<HealthChange>,
@@ -130,9 +98,8 @@
             settings,
             pending: BTreeMap::new(),
             order: VecDeque::new(),
-            hearsay: Hearsay::default(),
+            peer_suspicions: BTreeSet::new(),
             succeeded_at: BTreeMap::new(),
-            progressed_at: BTreeMap::new(),
             failing: BTreeMap::new(),
             changes: Vec::new(),
         }
@@ -146,7 +113,7 @@
         {
             return now < health.suspected_until;
         }
-        self.hearsay.suspected.contains(&cookie) && !self.succeeded_of_late(now, cookie)
+        self.peer_suspicions.contains(&cookie) && !self.succeeded_of_late(now, cookie)
     }
 
     /// Whether the last openings at an instance failed, too few of them to suspect it.
@@ -159,41 +126,17 @@
         failures >= self.settings.doubt_threshold
     }
 
-    /// Whether an instance is dead beyond reasonable doubt: several nodes, this one or peers,
-    /// saw openings fail there just now, no flow of this node goes on there, and openings of this
-    /// node elsewhere succeed, so that the fault is not its own.
-    #[must_use]
-    pub fn is_held_dead(&self, now: Timestamp, cookie: Cookie) -> bool {
-        let recent = |at: Timestamp| now.since(at) < self.settings.proof_lifetime;
-        let of_peers = self.hearsay.failures.iter().copied();
-        let witnesses = self
-            .failing_instances()
-            .chain(of_peers)
-            .filter(|failing| failing.cookie == cookie && recent(failing.failed_at))
-            .count();
-        let alive = |at: &Timestamp| now.since(*at) < self.settings.silence;
-        let shows_life = self.succeeded_at.get(&cookie).is_some_and(alive)
-            || self.progressed_at.get(&cookie).is_some_and(alive);
-        let others_succeed = self.succeeded_at.values().filter(|at| recent(**at)).count();
-        witnesses >= DEATH_WITNESSES
-            && !shows_life
-            && others_succeed > self.failing_instances().count()
-    }
-
     /// Instances that fail the openings of this node itself.
-    pub fn failing_instances(&self) -> impl Iterator<Item = FailingInstance> {
+    pub fn failing_instances(&self) -> impl Iterator<Item = Cookie> {
         let threshold = self.settings.failure_threshold;
         let failing = self.failing.iter();
         let failing = failing.filter(move |(_, health)| health.failures >= threshold);
-        failing.map(|(cookie, health)| FailingInstance {
-            cookie: *cookie,
-            failed_at: health.failed_at,
-        })
+        failing.map(|(cookie, _)| *cookie)
     }
 
-    /// What peers say now.
-    pub fn set_hearsay(&mut self, hearsay: &Hearsay) {
-        self.hearsay.clone_from(hearsay);
+    /// Instances that peers suspect now.
+    pub fn set_peer_suspicions(&mut self, suspected: &BTreeSet<Cookie>) {
+        self.peer_suspicions.clone_from(suspected);
     }
 
     /// An opening of a flow goes to an instance.
@@ -226,11 +169,6 @@
         Some(now.since(opening.sent_at))
     }
 
-    /// A client of an open flow sends newer data: the instance has answered what came before.
-    pub fn flow_went_on(&mut self, now: Timestamp, cookie: Cookie) {
-        self.progressed_at.insert(cookie, now);
-    }
-
     /// Judges the openings that have waited too long.
     pub fn expire(&mut self, now: Timestamp) {
         while let Some(&(sent_at, flow_hash)) = self.order.front() {
@@ -258,7 +196,6 @@
     pub fn retain(&mut self, is_known: impl Fn(Cookie) -> bool) {
         self.failing.retain(|cookie, _| is_known(*cookie));
         self.succeeded_at.retain(|cookie, _| is_known(*cookie));
-        self.progressed_at.retain(|cookie, _| is_known(*cookie));
     }
 
     /// What has changed since the last call.
@@ -274,7 +211,6 @@
     fn failed(&mut self, now: Timestamp, opening: PendingOpening) {
         let health = self.failing.entry(opening.cookie).or_default();
         health.failures = health.failures.saturating_add(1);
-        health.failed_at = now;
         if health.failures < self.settings.failure_threshold {
             return;
         }
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -10,7 +10,7 @@
 //! Like the rest of the crate nothing here has a socket, clock or thread:
 //!
 //! * one packet: [`packet`] and [`forwarder`], with [`placement`] of new flows, [`load`] and [`health`] of
-//!   instances from the progress of openings, and [`repeats`] of data that nobody acknowledges;
+//!   instances from the progress of openings;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
 //!   [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
@@ -29,7 +29,6 @@
 pub mod packet;
 pub mod placement;
 pub mod readiness;
-pub mod repeats;
 pub mod replica;
 pub mod revision;
 pub mod route;
--- /dev/null
+++ b/crates/bellyoke-lab/src/cookie/link.rs
@@ -0,0 +1,57 @@
+//! The link of a machine: a rate, and a queue that drops what comes while it is full.
+
+use bellyoke_core::time::Timestamp;
+use std::time::Duration;
+
+/// How wide a link is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkSettings {
+    /// Bytes that it carries in a second.
+    pub bytes_per_second: u32,
+    /// Packets that would wait longer are dropped.
+    pub longest_wait: Duration,
+}
+
+/// One link, in the direction away from the machine.
+///
+/// ```
+/// use bellyoke_core::time::Timestamp;
+/// use bellyoke_lab::cookie::link::{Link, LinkSettings};
+/// use std::time::Duration;
+///
+/// let ms = Duration::from_millis;
+/// let mut link = Link::new(LinkSettings { bytes_per_second: 1_000, longest_wait: ms(150) });
+/// assert_eq!(link.send(Timestamp::ZERO, 100), Some(ms(100)));
+/// assert_eq!(link.send(Timestamp::ZERO, 100), Some(ms(200)), "after the first");
+/// assert_eq!(link.send(Timestamp::ZERO, 100), None, "it would wait 200 ms");
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    settings: LinkSettings,
+    free_at: Timestamp,
+}
+
+impl Link {
+    /// A link with nothing on it.
+    #[must_use]
+    pub const fn new(settings: LinkSettings) -> Self {
+        Self {
+            settings,
+            free_at: Timestamp::ZERO,
+        }
+    }
+
+    /// A packet of so many bytes is sent. Returns when its last byte has left, from now on; none
+    /// if it is dropped.
+    pub fn send(&mut self, now: Timestamp, length: usize) -> Option<Duration> {
+        let waits = self.free_at.since(now);
+        if waits > self.settings.longest_wait {
+            return None;
+        }
+        let length = u32::try_from(length).unwrap_or(u32::MAX);
+        let rate = f64::from(self.settings.bytes_per_second);
+        let leaves = waits + Duration::from_secs_f64(f64::from(length) / rate);
+        self.free_at = now.after(leaves);
+        Some(leaves)
+    }
+}
--- a/crates/bellyoke-lab/src/cookie/mod.rs
+++ b/crates/bellyoke-lab/src/cookie/mod.rs
@@ -6,6 +6,7 @@
 //! the same seed is the same run.
 
 pub mod client;
+pub mod link;
 pub mod node;
 pub mod packet;
 pub mod router;
--- a/crates/bellyoke-lab/src/cookie/packet.rs
+++ b/crates/bellyoke-lab/src/cookie/packet.rs
@@ -36,7 +36,16 @@
     pub data: Vec<u8>,
 }
 
+/// Bytes of a packet's head, and of what stands before it on the way to a target.
+const HEAD: usize = 39;
+
 impl Packet {
+    /// Bytes that it takes on a link.
+    #[must_use]
+    pub const fn wire_length(&self) -> usize {
+        HEAD + self.data.len()
+    }
+
     /// The flow of a client's packet.
     #[must_use]
     pub fn flow(&self) -> Option<FlowTuple> {
--- a/crates/bellyoke-lab/src/cookie/rules.rs
+++ b/crates/bellyoke-lab/src/cookie/rules.rs
@@ -108,6 +108,8 @@
     pub failed: u64,
     /// Requests answered with success.
     pub served: u64,
+    /// Resets that nodes sent for open flows.
+    pub resets_by_nodes: u64,
     /// Time to each answer.
     pub latencies: Vec<Duration>,
 }
@@ -294,6 +296,9 @@
 
     fn reset(&mut self, now: Timestamp, flow: FlowTuple, open: bool, origin: Option<Origin>) {
         let held = self.open.remove(&key(flow));
+        if open && matches!(origin, Some(Origin::Node { .. })) {
+            self.resets_by_nodes += 1;
+        }
         let blamed = match (origin, &held) {
             (Some(Origin::Node { in_touch }), _) => in_touch,
             (Some(Origin::Target { id, in_touch }), Some(held)) => id != held.target && in_touch,
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -37,6 +37,9 @@
 /// Period in which routers ask nodes.
 const POLL: Duration = Duration::from_millis(500);
 
+/// Bytes of a message between nodes, about.
+const PEER_DATAGRAM: usize = 400;
+
 /// Port of the exchange between nodes.
 const PEER_PORT: u16 = 7_000;
 
@@ -114,6 +117,8 @@
     pub store_calls: u64,
     /// Messages between nodes.
     pub heartbeats: u64,
+    /// Resets that nodes sent for open flows.
+    pub resets_by_nodes: u64,
 }
 
 /// The world of one run.
@@ -150,6 +155,7 @@
         latencies,
         store_calls: world.store_calls,
         heartbeats: world.heartbeats,
+        resets_by_nodes: world.rules.resets_by_nodes,
     }
 }
 
@@ -186,7 +192,8 @@
         }
         self.configure(Some(0));
         for node in 0..self.scenario.nodes {
-            self.machines.push(Machine::new(self.now));
+            self.machines
+                .push(Machine::new(self.now, self.scenario.node_links));
             self.start_node(node);
         }
         self.add_clients();
@@ -221,10 +228,21 @@
 
     /// The same, unless the datagram is lost.
     fn send(&mut self, event: Event) {
+        self.send_later(Duration::ZERO, event);
+    }
+
+    /// The same over the link of a node's machine.
+    fn send_from(&mut self, node: usize, length: usize, event: Event) {
+        if let Some(leaves) = self.machines[node].send(self.now, length) {
+            self.send_later(leaves, event);
+        }
+    }
+
+    fn send_later(&mut self, leaves: Duration, event: Event) {
         if self.scenario.loss > 0.0 && self.random.random_bool(self.scenario.loss) {
             return;
         }
-        self.after(DELAY, event);
+        self.after(leaves + DELAY, event);
     }
 
     fn handle(&mut self, event: Event) {
@@ -311,16 +329,19 @@
             Forwarded::To(destination, packet) => {
                 let named = !self.scenario.lacks(Ablation::AnyInstance);
                 let meant = named.then_some(destination.instance);
-                self.send(Event::AtTarget {
+                let length = packet.wire_length();
+                let event = Event::AtTarget {
                     address: destination.address,
                     meant,
                     packet,
                     in_touch,
-                });
+                };
+                self.send_from(node, length, event);
             }
             Forwarded::Reset(packet) => {
                 let origin = Origin::Node { in_touch };
-                self.send(Event::AtClient { packet, origin });
+                let length = packet.wire_length();
+                self.send_from(node, length, Event::AtClient { packet, origin });
             }
             Forwarded::Dropped => {}
         }
@@ -354,7 +375,7 @@
     fn send_datagram(&mut self, from: usize, to: SocketAddrV4, datagram: PeerDatagram) {
         self.heartbeats += 1;
         if let Some(to) = node_number(to, self.machines.len()) {
-            self.send(Event::Datagram { from, to, datagram });
+            self.send_from(from, PEER_DATAGRAM, Event::Datagram { from, to, datagram });
         }
     }
 
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -1,6 +1,7 @@
 //! The machines of the world: nodes that run, stand still or are down, and targets.
 
 use super::{Event, NODE_TICK, World, peer_address};
+use crate::cookie::link::{Link, LinkSettings};
 use crate::cookie::node::{Node, StoreCall};
 use crate::cookie::packet::Packet;
 use crate::cookie::rules::{CONTACT, Origin};
@@ -42,15 +43,25 @@
     /// When it was last harmed.
     pub disturbed_at: Timestamp,
     pub cut_from_store: bool,
+    link: Option<Link>,
 }
 
 impl Machine {
-    pub(super) const fn new(now: Timestamp) -> Self {
+    pub(super) fn new(now: Timestamp, link: Option<LinkSettings>) -> Self {
         Self {
             state: MachineState::Down,
             life: 0,
             disturbed_at: now,
             cut_from_store: false,
+            link: link.map(Link::new),
+        }
+    }
+
+    /// It sends so many bytes. Returns when they have left; none if its link is full.
+    pub(super) fn send(&mut self, now: Timestamp, length: usize) -> Option<Duration> {
+        match &mut self.link {
+            Some(link) => link.send(now, length),
+            None => Some(Duration::ZERO),
         }
     }
 
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -19,8 +19,6 @@
     RefusedNoRoute,
     /// Answered with a reset: no instance.
     RefusedNoInstance,
-    /// Answered with a reset: its flow's instance is held dead.
-    ResetDead,
     /// Dropped: it waited while the process stood still.
     DroppedBacklog,
     /// Dropped: its cookie is not known.
@@ -36,12 +34,11 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 10] = [
         Self::Placed,
         Self::Followed,
         Self::RefusedNoRoute,
         Self::RefusedNoInstance,
-        Self::ResetDead,
         Self::DroppedBacklog,
         Self::DroppedUnknownCookie,
         Self::DroppedNoCookie,
@@ -58,7 +55,6 @@
             Self::Followed => "followed",
             Self::RefusedNoRoute => "refused_no_route",
             Self::RefusedNoInstance => "refused_no_instance",
-            Self::ResetDead => "reset_dead",
             Self::DroppedBacklog => "dropped_backlog",
             Self::DroppedUnknownCookie => "dropped_unknown_cookie",
             Self::DroppedNoCookie => "dropped_no_cookie",
@@ -76,7 +72,6 @@
             Decision::Follow { .. } => Self::Followed,
             Decision::Refuse(RefusalReason::NoRoute) => Self::RefusedNoRoute,
             Decision::Refuse(RefusalReason::NoInstance) => Self::RefusedNoInstance,
-            Decision::ResetDead { .. } => Self::ResetDead,
             Decision::Drop(DropReason::Backlog) => Self::DroppedBacklog,
             Decision::Drop(DropReason::UnknownCookie) => Self::DroppedUnknownCookie,
             Decision::Drop(DropReason::NoCookie) => Self::DroppedNoCookie,
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -4,7 +4,8 @@
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
-use bellyoke_core::cookie::health::{FailingInstance, HealthChange, HealthSettings};
+use bellyoke_core::cookie::health::{HealthChange, HealthSettings};
+use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::packet::{Destination, FlowPacket, PacketCodec};
 use bellyoke_core::cookie::placement::Suitability;
 use bellyoke_core::cookie::stall::BacklogGuard;
@@ -140,7 +141,7 @@
                 }
                 self.send_to_instance(datagram, destination)
             }
-            Decision::Refuse(_) | Decision::ResetDead { .. } => self.send_reset(datagram, packet),
+            Decision::Refuse(_) => self.send_reset(datagram, packet),
             Decision::Drop(_) => Ok(()),
         };
         let outcome = PacketOutcome::from(&decision);
@@ -149,9 +150,6 @@
             Decision::Refuse(_) => {
                 self.log_flow(EventCode::FlowRefused, now, &table, packet, outcome);
             }
-            Decision::ResetDead { .. } => {
-                self.log_flow(EventCode::FlowReset, now, &table, packet, outcome);
-            }
             Decision::Drop(_) => {
                 self.log_flow(EventCode::PacketDropped, now, &table, packet, outcome);
             }
@@ -183,9 +181,10 @@
             return;
         }
         self.next_review = now.after(REVIEW_INTERVAL);
-        self.forwarder.set_hearsay(&self.shared.hearsay.load());
+        let suspected = self.shared.peer_suspicions.load();
+        self.forwarder.set_peer_suspicions(&suspected);
         self.log_health_changes(now, table);
-        let failing: Vec<FailingInstance> = self.forwarder.failing_instances().collect();
+        let failing: Vec<Cookie> = self.forwarder.failing_instances().collect();
         if **self.shared.failing.load() != failing {
             self.shared.failing.store(Arc::new(failing));
         }
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -13,8 +13,7 @@
 };
 use bellyoke_core::cookie::follower::{Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
-use bellyoke_core::cookie::health::FailingInstance;
-use bellyoke_core::cookie::instance::{InstanceEvent, InstanceRecord};
+use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::readiness::{Lifecycle, Unready};
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, Versions};
 use bellyoke_core::cookie::revision::Revision;
@@ -46,7 +45,7 @@
     registry: Registry,
     metrics: ControlMetrics,
     limiter: LogLimiter,
-    told_failing: Arc<Vec<FailingInstance>>,
+    told_failing: Arc<Vec<Cookie>>,
     was_ready: bool,
     last_duty: StoreDuty,
 }
@@ -299,9 +298,9 @@
             effects = self.coordinator.set_failing(now, failing.to_vec());
             self.told_failing = failing;
         }
-        let hearsay = self.coordinator.hearsay();
-        if **self.shared.hearsay.load() != hearsay {
-            self.shared.hearsay.store(Arc::new(hearsay));
+        let suspected = self.coordinator.peer_suspicions();
+        if **self.shared.peer_suspicions.load() != suspected {
+            self.shared.peer_suspicions.store(Arc::new(suspected));
         }
         effects
     }
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -2,11 +2,12 @@
 
 use crate::packet::PacketCounters;
 use arc_swap::ArcSwap;
-use bellyoke_core::cookie::health::{FailingInstance, Hearsay};
+use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::stall::TickReport;
 use bellyoke_core::cookie::table::ForwardingTable;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Written by the control thread, read by all.
@@ -19,9 +20,9 @@
     /// Counts of packets.
     pub packets: PacketCounters,
     /// Instances that fail the traffic thread's openings, for peers.
-    pub failing: ArcSwap<Vec<FailingInstance>>,
-    /// What peers say of instances, for the traffic thread.
-    pub hearsay: ArcSwap<Hearsay>,
+    pub failing: ArcSwap<Vec<Cookie>>,
+    /// Instances that peers suspect, for the traffic thread.
+    pub peer_suspicions: ArcSwap<BTreeSet<Cookie>>,
     last_tick: AtomicU64,
     stalls: AtomicU64,
 }
@@ -34,7 +35,7 @@
             table: ArcSwap::default(),
             packets,
             failing: ArcSwap::default(),
-            hearsay: ArcSwap::default(),
+            peer_suspicions: ArcSwap::default(),
             last_tick: AtomicU64::new(clock.now().as_micros()),
             stalls: AtomicU64::new(0),
             clock,
