Pace bulk data at a rate learned from what comes again

Cause: a client sends a window of 16 packets in 4 ms, a link of 2.5 Mbit/s has a queue of some 45 ms, so packets 13 to 16 of each window were dropped there and each window cost a time-out of 200 ms (a trial logged each packet of one node: up to 498 packets for 228 of data). Mean load was 16%. Ruled out: feedback from the socket (trial: SIOCOUTQ 0, sends never block, SO_SNDBUF can't be changed); refusing flows. Metrics link_bytes_per_second and link_held_packets, outcomes held, dropped_duplicate and dropped_queue_full, events BE818 and BE819.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -117,6 +117,8 @@
     ReadinessChanged = 815, Info, "This node has become ready for new flows, or has ceased to be.";
     StallDetected = 816, Warn, "The process stood still; openings that waited in its socket are dropped.";
     RoleChanged = 817, Info, "This node reads the store for all (Reader), backs up the one that does (Backup), or rests while these tell it enough (Listener).";
+    LinkPaced = 818, Warn, "Data that this node sent was lost; bulk data is paced at the rate that its link seems to carry.";
+    LinkFree = 819, Info, "Nothing was lost for long; bulk data is sent at once again.";
     PeerJoined = 821, Info, "A peer was heard that was not known to be alive.";
     PeerLost = 822, Info, "A peer was silent for too long, or has left.";
     SnapshotFetched = 823, Info, "A peer's snapshot was read; what was newer in it is in force.";
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -25,6 +25,7 @@
 pub mod freshness;
 pub mod health;
 pub mod instance;
+pub mod link;
 pub mod load;
 pub mod packet;
 pub mod placement;
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -5,6 +5,7 @@
 mod follower;
 mod forwarder;
 mod health;
+mod link;
 mod message;
 mod placement;
 mod replica;
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -1,9 +1,11 @@
 //! Counts of what was done with packets.
 
+use super::sender::SendOutcome;
 use bellyoke_core::cookie::forwarder::{Decision, DropReason, RefusalReason};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use std::time::Duration;
@@ -15,6 +17,8 @@
     Placed,
     /// Sent on by its cookie.
     Followed,
+    /// Sent on by its cookie, once the link has room.
+    Held,
     /// Answered with a reset: no route.
     RefusedNoRoute,
     /// Answered with a reset: no instance.
@@ -23,6 +27,10 @@
     DroppedBacklog,
     /// Dropped: its cookie is not known.
     DroppedUnknownCookie,
+    /// Dropped: the same data waits for room on the link already.
+    DroppedDuplicate,
+    /// Dropped: too much waits for room on the link.
+    DroppedQueueFull,
     /// Dropped: it has no cookie.
     DroppedNoCookie,
     /// Dropped: this node knows no configuration yet.
@@ -34,13 +42,16 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 13] = [
         Self::Placed,
         Self::Followed,
+        Self::Held,
         Self::RefusedNoRoute,
         Self::RefusedNoInstance,
         Self::DroppedBacklog,
         Self::DroppedUnknownCookie,
+        Self::DroppedDuplicate,
+        Self::DroppedQueueFull,
         Self::DroppedNoCookie,
         Self::DroppedNotReady,
         Self::Malformed,
@@ -53,10 +64,13 @@
         match self {
             Self::Placed => "placed",
             Self::Followed => "followed",
+            Self::Held => "held",
             Self::RefusedNoRoute => "refused_no_route",
             Self::RefusedNoInstance => "refused_no_instance",
             Self::DroppedBacklog => "dropped_backlog",
             Self::DroppedUnknownCookie => "dropped_unknown_cookie",
+            Self::DroppedDuplicate => "dropped_duplicate",
+            Self::DroppedQueueFull => "dropped_queue_full",
             Self::DroppedNoCookie => "dropped_no_cookie",
             Self::DroppedNotReady => "dropped_not_ready",
             Self::Malformed => "malformed",
@@ -80,6 +94,19 @@
     }
 }
 
+impl PacketOutcome {
+    /// What became of a packet of an open flow that the link may hold back.
+    #[must_use]
+    pub const fn of_flow(sent: SendOutcome) -> Self {
+        match sent {
+            SendOutcome::Sent => Self::Followed,
+            SendOutcome::Held => Self::Held,
+            SendOutcome::Duplicate => Self::DroppedDuplicate,
+            SendOutcome::QueueFull => Self::DroppedQueueFull,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabel {
     outcome: &'static str,
@@ -94,6 +121,14 @@
 pub struct PacketCounters {
     counters: [Counter; PacketOutcome::ALL.len()],
     opening_seconds: Histogram,
+    link: LinkGauges,
+}
+
+/// What the sender believes of the node's own link.
+#[derive(Clone, Debug, Default)]
+struct LinkGauges {
+    bytes_per_second: Gauge,
+    held: Gauge,
 }
 
 impl PacketCounters {
@@ -114,12 +149,31 @@
             "Time from an opening to the next packet of its flow",
             opening_seconds.clone(),
         );
+        let link = LinkGauges::default();
+        registry.register(
+            "link_bytes_per_second",
+            "Rate at which bulk data is paced, 0 while it is not",
+            link.bytes_per_second.clone(),
+        );
+        registry.register(
+            "link_held_packets",
+            "Packets that wait for room on the link",
+            link.held.clone(),
+        );
         Self {
             counters,
             opening_seconds,
+            link,
         }
     }
 
+    /// What the sender believes of the link; no rate while nothing is paced.
+    pub fn show_link(&self, bytes_per_second: Option<f32>, held: usize) {
+        let rate = bytes_per_second.unwrap_or_default();
+        self.link.bytes_per_second.set(rate as i64);
+        self.link.held.set(i64::try_from(held).unwrap_or(i64::MAX));
+    }
+
     /// A flow has opened.
     pub fn opened(&self, after: Duration) {
         self.opening_seconds.observe(after.as_secs_f64());
--- a/crates/bellyoke-node/src/packet/mod.rs
+++ b/crates/bellyoke-node/src/packet/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for a packet: the traffic threads.
 
 mod counters;
+mod sender;
 mod thread;
 
 pub use counters::{PacketCounters, PacketOutcome};
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -1,6 +1,7 @@
 //! One traffic thread: reads client packets and does what the forwarder decides.
 
 use super::counters::PacketOutcome;
+use super::sender::{LinkSender, SendOutcome};
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
@@ -13,7 +14,9 @@
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::{LogLimiter, log_event};
 use nix::errno::Errno;
+use nix::poll::{PollFd, PollFlags, ppoll};
 use nix::sys::socket::{MsgFlags, recv};
+use nix::sys::time::TimeSpec;
 use std::io;
 use std::net::{SocketAddrV4, UdpSocket};
 use std::os::fd::AsRawFd;
@@ -50,13 +53,14 @@
 }
 
 struct TrafficThread<Codec> {
-    socket: UdpSocket,
+    sender: LinkSender,
     codec: Codec,
     shared: Arc<Shared>,
     forwarder: Forwarder,
     guard: BacklogGuard,
     limiter: LogLimiter,
     next_review: Timestamp,
+    was_paced: bool,
     /// The port that clients are answered at.
     client_port: u16,
 }
@@ -65,13 +69,14 @@
     fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>) -> Self {
         let client_port = socket.local_addr().map_or(0, |address| address.port());
         Self {
-            socket,
+            sender: LinkSender::new(socket),
             codec,
             shared,
             forwarder: Forwarder::new(HealthSettings::default()),
             guard: BacklogGuard::default(),
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             next_review: Timestamp::ZERO,
+            was_paced: false,
             client_port,
         }
     }
@@ -80,14 +85,16 @@
         let mut buffer = vec![0; Codec::ENCAPSULATION_LENGTH + MAXIMUM_PACKET_LENGTH];
         let mut drain = false;
         loop {
-            // While packets may be old, the socket is read without waiting until it is empty.
-            let flags = if drain {
+            self.send_due();
+            // While packets may be old, or others wait to be sent, the socket is read without
+            // waiting until it is empty.
+            let flags = if drain || self.sender.next_at().is_some() {
                 MsgFlags::MSG_DONTWAIT
             } else {
                 MsgFlags::empty()
             };
             let packet = &mut buffer[Codec::ENCAPSULATION_LENGTH..];
-            match recv(self.socket.as_raw_fd(), packet, flags) {
+            match recv(self.sender.as_fd().as_raw_fd(), packet, flags) {
                 Ok(length) => {
                     let datagram = &mut buffer[..Codec::ENCAPSULATION_LENGTH + length];
                     drain = self.handle(datagram, drain);
@@ -95,6 +102,7 @@
                 Err(Errno::EAGAIN) => {
                     self.guard.emptied();
                     drain = false;
+                    self.wait_for_room();
                 }
                 Err(Errno::EINTR | Errno::ECONNREFUSED) => {}
                 Err(error) => {
@@ -105,6 +113,28 @@
         }
     }
 
+    /// Sends what the link has room for by now.
+    fn send_due(&mut self) {
+        if self.sender.next_at().is_none() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        if let Err(error) = self.sender.send_due(now) {
+            self.send_failed(now, &error);
+        }
+    }
+
+    /// Waits until a packet comes or the next one that was held back may go.
+    fn wait_for_room(&self) {
+        let Some(next_at) = self.sender.next_at() else {
+            return;
+        };
+        let wait = TimeSpec::from_duration(next_at.since(self.shared.clock.now()));
+        let mut sockets = [PollFd::new(self.sender.as_fd(), PollFlags::POLLIN)];
+        // An interrupted wait is a short one.
+        let _ = ppoll(&mut sockets, Some(wait), None);
+    }
+
     /// Handles one packet, which stands behind room for its encapsulation. Returns whether
     /// packets in the socket may be old.
     fn handle(&mut self, datagram: &mut [u8], was_draining: bool) -> bool {
@@ -124,13 +154,14 @@
         let shared = Arc::clone(&self.shared);
         let table = shared.table.load();
         let decision = self.forwarder.decide(now, &table, packet, backlog);
+        let mut outcome = PacketOutcome::from(&decision);
         let sent = match &decision {
             Decision::Place {
                 destination,
                 suitability,
             } => {
                 self.log_placed(now, &table, packet, destination, *suitability);
-                self.send_to_instance(datagram, destination)
+                self.send_to_instance(now, packet, datagram, destination)
             }
             Decision::Follow {
                 destination,
@@ -139,12 +170,15 @@
                 if let Some(after) = opened_after {
                     self.shared.packets.opened(*after);
                 }
-                self.send_to_instance(datagram, destination)
+                let sent = self.send_to_instance(now, packet, datagram, destination);
+                outcome = sent
+                    .as_ref()
+                    .map_or(outcome, |sent| PacketOutcome::of_flow(*sent));
+                sent
             }
             Decision::Refuse(_) => self.send_reset(datagram, packet),
-            Decision::Drop(_) => Ok(()),
+            Decision::Drop(_) => Ok(SendOutcome::Sent),
         };
-        let outcome = PacketOutcome::from(&decision);
         self.shared.packets.count(outcome);
         match &decision {
             Decision::Refuse(_) => {
@@ -156,24 +190,33 @@
             Decision::Place { .. } | Decision::Follow { .. } => {}
         }
         if let Err(error) = sent {
-            self.shared.packets.count(PacketOutcome::SendFailed);
-            self.limiter
-                .log(EventCode::PacketSendFailed, now, format_args!("{error}"));
+            self.send_failed(now, &error);
         }
         self.review(now, &table);
     }
 
-    fn send_to_instance(&self, datagram: &mut [u8], destination: &Destination) -> io::Result<()> {
+    fn send_to_instance(
+        &mut self,
+        now: Timestamp,
+        packet: &FlowPacket,
+        datagram: &mut [u8],
+        destination: &Destination,
+    ) -> io::Result<SendOutcome> {
         self.codec.encapsulate(datagram, destination);
-        self.socket.send_to(datagram, destination.address)?;
-        Ok(())
+        self.sender.forward(now, packet, datagram, destination)
     }
 
-    fn send_reset(&self, datagram: &[u8], packet: &FlowPacket) -> io::Result<()> {
+    fn send_reset(&self, datagram: &[u8], packet: &FlowPacket) -> io::Result<SendOutcome> {
         let reset = self.codec.reset(&datagram[Codec::ENCAPSULATION_LENGTH..]);
         let client = SocketAddrV4::new(*packet.flow.client.ip(), self.client_port);
-        self.socket.send_to(&reset, client)?;
-        Ok(())
+        self.sender.send(&reset, client)?;
+        Ok(SendOutcome::Sent)
+    }
+
+    fn send_failed(&mut self, now: Timestamp, error: &io::Error) {
+        self.shared.packets.count(PacketOutcome::SendFailed);
+        self.limiter
+            .log(EventCode::PacketSendFailed, now, format_args!("{error}"));
     }
 
     fn review(&mut self, now: Timestamp, table: &ForwardingTable) {
@@ -181,6 +224,7 @@
             return;
         }
         self.next_review = now.after(REVIEW_INTERVAL);
+        self.show_link(now);
         let suspected = self.shared.peer_suspicions.load();
         self.forwarder.set_peer_suspicions(&suspected);
         self.log_health_changes(now, table);
@@ -190,6 +234,23 @@
         }
     }
 
+    fn show_link(&mut self, now: Timestamp) {
+        let (rate, held) = (self.sender.bytes_per_second(), self.sender.held());
+        self.shared.packets.show_link(rate, held);
+        if rate.is_some() == self.was_paced {
+            return;
+        }
+        self.was_paced = rate.is_some();
+        match rate {
+            Some(rate) => self.limiter.log(
+                EventCode::LinkPaced,
+                now,
+                format_args!("bytes_per_second={rate:.0} held={held}"),
+            ),
+            None => self.limiter.log(EventCode::LinkFree, now, ""),
+        }
+    }
+
     fn log_health_changes(&mut self, now: Timestamp, table: &ForwardingTable) {
         for change in self.forwarder.review(now, table) {
             match change {
