--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -84,6 +84,13 @@
         self.exchange.set_seeds(seeds);
     }
 
+    /// Whether this node, which knows nothing yet, is one of the few that ask the store for all
+    /// that know nothing.
+    #[must_use]
+    pub fn asks_for_all(&self) -> bool {
+        self.replica.versions().is_empty() && self.exchange.ranks_among_first()
+    }
+
     /// What the node reads of the store.
     #[must_use]
     pub fn duty(&self, now: Timestamp) -> StoreDuty {
--- a/crates/bellyoke-core/src/cookie/exchange/candidates.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/candidates.rs
@@ -101,6 +101,11 @@
     }
 }
 
+/// Whether one node stands before another where few act for all.
+pub(super) fn ranks_before(one: SocketAddrV4, other: SocketAddrV4) -> bool {
+    watcher_rank(one) < watcher_rank(other)
+}
+
 fn watcher_rank(address: SocketAddrV4) -> u64 {
     let mut bytes = [0; 6];
     bytes[..4].copy_from_slice(&address.ip().octets());
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -34,7 +34,7 @@
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
-use candidates::ClaimTable;
+use candidates::{ClaimTable, ranks_before};
 use peers::PeerTable;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -45,6 +45,9 @@
 /// Peers that must agree that an instance fails.
 const WITNESSES: usize = 2;
 
+/// Nodes that ask the store for all while nobody knows anything.
+const ASKERS: usize = 2;
+
 /// Snapshots that a node fetches after its start though it is not behind: the store doesn't tell
 /// of instances that have gone, and the first peer may have started just now itself.
 const INTRODUCTIONS: u32 = 2;
@@ -59,6 +62,7 @@
     random: ChaCha8Rng,
     next_round: Timestamp,
     next_fetch: Timestamp,
+    next_introduction: Timestamp,
     behind_since: Option<Timestamp>,
     leaving: bool,
     claims: ClaimTable,
@@ -90,6 +94,7 @@
             random: ChaCha8Rng::seed_from_u64(random_seed),
             next_round: Timestamp::ZERO,
             next_fetch: Timestamp::ZERO,
+            next_introduction: Timestamp::ZERO,
             behind_since: None,
             leaving: false,
             claims: ClaimTable::default(),
@@ -116,6 +121,15 @@
         self.peers.iter()
     }
 
+    /// Whether this node is one of the few that stand first by rank among those that it knows, alive or
+    /// suggested.
+    #[must_use]
+    pub fn ranks_among_first(&self) -> bool {
+        let known = self.peers.iter().map(|(address, _)| address);
+        let before = known.filter(|address| ranks_before(*address, self.own_address));
+        before.count() < ASKERS
+    }
+
     /// When [`Self::tick`] has something to do.
     #[must_use]
     pub const fn next_tick(&self) -> Timestamp {
@@ -332,27 +346,32 @@
         behind: &impl Fn(Versions) -> bool,
         effects: &mut Vec<ExchangeEffect>,
     ) {
-        let mut source = self.peers.newest(behind, &mut self.random);
-        if source.is_none() {
+        let Some((from, versions)) = self.peers.newest(behind, &mut self.random) else {
             self.behind_since = None;
-            if self.introductions > 0 {
-                source = self.peers.sample_heard(&mut self.random);
-            }
-        } else {
-            self.behind_since.get_or_insert(now);
-        }
-        let Some(from) = source else {
+            self.introduce(now, effects);
             return;
         };
-        let patience_over = own.is_empty()
-            || self
-                .behind_since
-                .is_none_or(|since| now.since(since) >= self.settings.patience);
-        if patience_over && now >= self.next_fetch {
+        let since = *self.behind_since.get_or_insert(now);
+        // A node that lacks something altogether doesn't wait for the store, but for a peer that knows
+        // all: those that learn first have the one kind before the other.
+        let urgent = own.is_empty() && !versions.is_empty();
+        let patience_over = now.since(since) >= self.settings.patience;
+        if (urgent || patience_over) && now >= self.next_fetch {
             self.next_fetch = now.after(self.settings.fetch_interval);
             effects.push(ExchangeEffect::Fetch { from });
         }
     }
+
+    /// Fetches from any peer, after the start. This must not delay a fetch from one that is ahead.
+    fn introduce(&mut self, now: Timestamp, effects: &mut Vec<ExchangeEffect>) {
+        if self.introductions == 0 || now < self.next_introduction {
+            return;
+        }
+        if let Some(from) = self.peers.sample_heard(&mut self.random) {
+            self.next_introduction = now.after(self.settings.fetch_interval);
+            effects.push(ExchangeEffect::Fetch { from });
+        }
+    }
 }
 
 /// Milliseconds from an earlier time to now, as messages tell ages.
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -160,15 +160,18 @@
         due
     }
 
-    /// One of the peers that know more than this node.
+    /// One of the peers that know more than this node, and what it knows; one that knows something of
+    /// all if there is one.
     pub(super) fn newest(
         &self,
         behind: &impl Fn(Versions) -> bool,
         random: &mut impl Rng,
-    ) -> Option<SocketAddrV4> {
+    ) -> Option<(SocketAddrV4, Versions)> {
         let ahead = self.records.iter();
         let ahead = ahead.filter(|(_, record)| record.heard && behind(record.versions));
-        ahead.map(|(address, _)| *address).choose(random)
+        let ahead = ahead.map(|(address, record)| (*address, record.versions));
+        let complete = ahead.clone().filter(|(_, versions)| !versions.is_empty());
+        complete.choose(random).or_else(|| ahead.choose(random))
     }
 
     /// Forgets how much a peer claimed to know, until it speaks again.
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -56,7 +56,7 @@
     UnknownCookie,
     /// It opens nothing and names nobody.
     NoCookie,
-    /// This node doesn't know routes and instances yet.
+    /// This node doesn't know both routes and instances yet.
     NotReady,
 }
 
@@ -124,7 +124,7 @@
         packet: &FlowPacket,
         attempt: u32,
     ) -> Decision {
-        if table.configuration_version() == 0 {
+        if !table.is_informed() {
             return Decision::Drop(DropReason::NotReady);
         }
         let flow_hash = packet.flow.hash();
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -55,6 +55,8 @@
     /// Sorted by cookie.
     destinations: Vec<(Cookie, Destination)>,
     configuration_version: u64,
+    /// Whether a list of instances is known, be it an empty one.
+    has_instances: bool,
     configuration_revision: Revision,
     directory_revision: Revision,
 }
@@ -74,6 +76,7 @@
             candidates: services.candidates(directory, &destinations),
             destinations,
             configuration_version: configuration.map_or(0, |held| held.version),
+            has_instances: directory.as_of().is_some(),
             configuration_revision: configuration
                 .map_or_else(Revision::default, |held| held.revision),
             directory_revision: directory.changed_at(),
@@ -109,6 +112,12 @@
         self.destinations.iter().map(|(cookie, _)| *cookie)
     }
 
+    /// Whether routes and instances are known. Until then nothing may be refused.
+    #[must_use]
+    pub const fn is_informed(&self) -> bool {
+        self.configuration_version != 0 && self.has_instances
+    }
+
     /// The operators' number for the configuration.
     #[must_use]
     pub const fn configuration_version(&self) -> u64 {
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -648,3 +648,56 @@
         assert_eq!(suspected.into_iter().collect::<Vec<_>>(), [dead]);
     }
 }
+
+/// Nodes that know nothing, as after a kill of all in an outage. Who asks for all is a matter of rank, not
+/// of agreement; with time all know who comes first.
+#[test]
+fn few_nodes_ask_the_store_for_all_that_know_nothing() {
+    let mut cluster = Cluster::new(60);
+    cluster.run(5_000);
+    let asking = |cluster: &Cluster| {
+        let nodes = cluster.nodes.values();
+        nodes.filter(|node| node.coordinator.asks_for_all()).count()
+    };
+    let before = asking(&cluster);
+    assert!((1..=10).contains(&before), "{before} of 60 ask");
+    cluster.learn(7, 10);
+    cluster.run(2_000);
+    assert_eq!(asking(&cluster), 0, "all know something");
+}
+
+#[test]
+fn a_node_that_knows_nothing_fetches_from_who_knows_all() {
+    let settings = ExchangeSettings::default();
+    let mut exchange = Exchange::new(settings, address(0), Vec::new(), 1);
+    let heartbeat = |directory: u64| Heartbeat {
+        versions: Versions {
+            configuration: Revision(9),
+            configuration_as_of: Revision(9),
+            directory_changed_at: Revision(directory),
+            directory_as_of: Revision(directory),
+        },
+        leaving: false,
+        confirmed_age_milliseconds: None,
+        claims: Vec::new(),
+        peers: vec![address(1), address(2), address(3)],
+        failing: Vec::new(),
+    };
+    let mut hear = |now, from, directory| {
+        let own = Versions::default();
+        let behind =
+            |versions: Versions| !versions.is_empty() || versions.configuration > Revision(0);
+        let message = heartbeat(directory);
+        let effects = exchange.heartbeat(at(now), address(from), &message, own, behind);
+        let fetches = effects.into_iter().filter_map(|effect| match effect {
+            ExchangeEffect::Fetch { from } => Some(from),
+            _ => None,
+        });
+        fetches.collect::<Vec<_>>()
+    };
+    assert!(
+        hear(10_000, 1, 0).is_empty(),
+        "it has the configuration alone"
+    );
+    assert_eq!(hear(10_010, 2, 5), [address(2)]);
+}
--- a/crates/bellyoke-core/tests/cookie/forwarder.rs
+++ b/crates/bellyoke-core/tests/cookie/forwarder.rs
@@ -1,6 +1,8 @@
 //! The decision for each packet.
 
-use crate::support::{at, configuration, draining, later, node, of_service, opening, record};
+use crate::support::{
+    TOMBSTONE_LIFETIME, at, configuration, draining, later, node, of_service, opening, record,
+};
 use bellyoke_core::cookie::forwarder::{Decision, DropReason, Forwarder, RefusalReason};
 use bellyoke_core::cookie::health::HealthSettings;
 use bellyoke_core::cookie::instance::{Cookie, InstanceId, InstanceRecord};
@@ -124,6 +126,18 @@
     }
 }
 
+/// It has the routes from a peer, and the instances are still on their way.
+#[test]
+fn a_node_that_knows_no_instances_yet_refuses_nothing() {
+    let mut replica = Replica::new(TOMBSTONE_LIFETIME);
+    replica.adopt_configuration(configuration(1, &[("till", 1)]));
+    let decision = decide(&replica.table(), &opening(1, 0));
+    assert_eq!(decision, Decision::Drop(DropReason::NotReady));
+    replica.replace_instances(at(0), Revision(1), Vec::new());
+    let decision = decide(&replica.table(), &opening(1, 0));
+    assert_eq!(decision, Decision::Refuse(RefusalReason::NoInstance));
+}
+
 #[test]
 fn an_open_flow_follows_its_cookie_whatever_the_route_says_now() {
     let mut replica = node(vec![record(1, 1), of_service("listings", record(2, 1))]);
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -40,7 +40,8 @@
             Next::Call(read) => read,
         };
         let asked_at = clock.now();
-        let answer = reader.read(&read).await;
+        let hedge = || link.control.borrow().asks_for_all();
+        let answer = reader.read(&read, hedge).await;
         let took = clock.now().since(asked_at);
         let mut control = link.control.borrow_mut();
         count(control.metrics(), kind, &read, &answer, took);
--- a/crates/bellyoke-node/src/connection/http_client.rs
+++ b/crates/bellyoke-node/src/connection/http_client.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -23,6 +24,12 @@
 /// Longest time that sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long a call waits for its answer before it may be made again: longer than a slow store takes.
+const FIRST_HEDGE: Duration = Duration::from_millis(500);
+
+/// Time between two further ones.
+const HEDGE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Longest answer that is read, bytes.
 const MAXIMUM_BODY_LENGTH: usize = 16 * 1024 * 1024;
 
@@ -75,19 +82,70 @@
         patience: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
         let sender = self.sender.take();
-        let exchange = exchange(self.address, sender, path);
+        let exchange = exchange(self.address, sender, path.to_owned());
         let answered = timeout(patience, exchange).await;
         let (sender, status, body) = answered.map_err(|_| CallError::TimedOut)??;
         self.sender = Some(sender);
         Ok((status, body))
     }
+
+    /// The same, but asks `hedge` now and then, while there is no answer, whether to make the call again
+    /// over another connection; the first answer counts. Only for calls that change nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] if there is no whole answer within `patience`, or all calls have failed.
+    pub async fn get_hedged(
+        &mut self,
+        path: &str,
+        patience: Duration,
+        hedge: impl FnMut() -> bool,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let sender = self.sender.take();
+        let answered = timeout(patience, first_answer(self.address, sender, path, hedge)).await;
+        let (sender, status, body) = answered.map_err(|_| CallError::TimedOut)??;
+        self.sender = Some(sender);
+        Ok((status, body))
+    }
 }
 
-async fn exchange(
+/// Starts an exchange, and another one over a new connection whenever `hedge` says so, until one has
+/// an answer or all have failed.
+async fn first_answer(
     address: SocketAddrV4,
     sender: Option<SendRequest<Empty<Bytes>>>,
     path: &str,
-) -> Result<(SendRequest<Empty<Bytes>>, StatusCode, Bytes), CallError> {
+    mut hedge: impl FnMut() -> bool,
+) -> Result<Answered, CallError> {
+    let mut exchanges = JoinSet::new();
+    exchanges.spawn_local(exchange(address, sender, path.to_owned()));
+    let mut hedge_at = Instant::now() + FIRST_HEDGE;
+    loop {
+        tokio::select! {
+            ended = exchanges.join_next() => match ended {
+                Some(Ok(Err(_))) if !exchanges.is_empty() => {}
+                Some(Ok(ended)) => return ended,
+                // An exchange that panicked, or none.
+                Some(Err(_)) | None => return Err(CallError::TimedOut),
+            },
+            () = sleep_until(hedge_at) => {
+                if hedge() {
+                    exchanges.spawn_local(exchange(address, None, path.to_owned()));
+                }
+                hedge_at += HEDGE_INTERVAL;
+            }
+        }
+    }
+}
+
+/// The connection, for the next call, and what was answered.
+type Answered = (SendRequest<Empty<Bytes>>, StatusCode, Bytes);
+
+async fn exchange(
+    address: SocketAddrV4,
+    sender: Option<SendRequest<Empty<Bytes>>>,
+    path: String,
+) -> Result<Answered, CallError> {
     let mut sender = usable_or_new(address, sender).await?;
     let request = Request::get(path)
         .header(header::HOST, address.to_string())
--- a/crates/bellyoke-node/src/connection/store.rs
+++ b/crates/bellyoke-node/src/connection/store.rs
@@ -12,8 +12,14 @@
     /// A change of an object.
     type Event: 'static;
 
-    /// Makes a call. A failure closes the connection; the next call opens another.
-    fn read(&mut self, read: &Read) -> impl Future<Output = Answer<Self::Item, Self::Event>>;
+    /// Makes a call. A failure closes the connection; the next call opens another. While it is
+    /// not answered, `hedge` is asked now and then whether to make it again over another
+    /// connection; the first answer counts.
+    fn read(
+        &mut self,
+        read: &Read,
+        hedge: impl FnMut() -> bool,
+    ) -> impl Future<Output = Answer<Self::Item, Self::Event>>;
 }
 
 /// Makes readers of a store.
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -171,6 +171,12 @@
         self.coordinator.watch_plan(self.clock.now(), kind)
     }
 
+    /// Whether this node is one of the few that ask the store for all that know nothing.
+    #[must_use]
+    pub fn asks_for_all(&self) -> bool {
+        self.coordinator.asks_for_all()
+    }
+
     /// The revision up to which everything of a kind is known.
     #[must_use]
     pub fn known_up_to(&self, kind: ObjectKind) -> Revision {
