Let go what is held when pacing ends

Cause, found in reading the diff: without a learned rate next_at told nothing, so that packets held when pacing ended stayed, and all further bulk data queued behind them. what_is_held_goes_at_once_when_pacing_ends failed first.

--- a/crates/bellyoke-core/src/cookie/link/mod.rs
+++ b/crates/bellyoke-core/src/cookie/link/mod.rs
@@ -147,8 +147,9 @@
     #[must_use]
     pub fn next_at(&self) -> Option<Timestamp> {
         self.held.front()?;
-        let allowance = self.allowance()?;
-        Some(self.clear_at.before(allowance))
+        // Once pacing has ended, all that waits goes at once.
+        let due = |allowance| self.clear_at.before(allowance);
+        Some(self.allowance().map_or(Timestamp::ZERO, due))
     }
 
     /// Packets that wait.
--- a/crates/bellyoke-core/tests/cookie/link.rs
+++ b/crates/bellyoke-core/tests/cookie/link.rs
@@ -252,10 +252,10 @@
     }
 }
 
-/// A pacer that has seen losses.
-fn paced() -> LinkPacer<u32> {
+/// A pacer that has sent so many packets and seen four of them lost.
+fn paced_after(packets: u32) -> LinkPacer<u32> {
     let mut pacer = LinkPacer::default();
-    for sequence in 0..16 {
+    for sequence in 0..packets {
         assert_eq!(pacer.offer(at(0), &bulk(1, sequence)), SendVerdict::Now);
     }
     for (milliseconds, sequence) in [(200, 9), (400, 10), (600, 11), (800, 12)] {
@@ -266,6 +266,10 @@
     pacer
 }
 
+fn paced() -> LinkPacer<u32> {
+    paced_after(WINDOW)
+}
+
 /// Offers a window and holds what goes later.
 fn offer_window(pacer: &mut LinkPacer<u32>, now: Timestamp, flow: u64) -> usize {
     let mut held = 0;
@@ -315,6 +319,26 @@
     assert_eq!(pacer.offer(at(1_020), &last), SendVerdict::Duplicate);
 }
 
+/// Losses that pacing doesn't make rarer end it, whatever waits then.
+#[test]
+fn what_is_held_goes_at_once_when_pacing_ends() {
+    let mut pacer = paced_after(80);
+    let mut now = 2_000;
+    while pacer.bytes_per_second().is_some() {
+        assert!(now < 100_000, "pacing doesn't end");
+        for millisecond in now - 700..now {
+            while pacer.next_due(at(millisecond)).is_some() {}
+        }
+        assert_eq!(pacer.offer(at(now), &bulk(now, 7)), SendVerdict::Now);
+        offer_window(&mut pacer, at(now + 200), now + 1);
+        // The first copy was lost.
+        pacer.offer(at(now + 200), &bulk(now, 7));
+        now += 1_000;
+    }
+    assert!(pacer.held() > 0);
+    assert!(pacer.next_at().is_some_and(|next_at| next_at <= at(now)));
+}
+
 #[test]
 fn what_waits_is_bounded_and_goes_in_order() {
     let mut pacer = paced();
