Let nodes take turns at asking a store that answers nobody

Ruled out: lists (98 calls, 10 paid), the three watchers (1 a second), the return (47 calls in 4 s). Change: exchange/asking. While a node's state is stale and so is that of its peers, its turn comes at random in a time that grows with the cluster, so that all together call five times a second for each kind (a hundred times while they believe that the store answers, until the first hears from it). How many nodes there are it tells from the share of those that peers mention which it knows. Who hears nobody, and who is behind confirmed peers for a second, doesn't wait; nor do the two first by rank while nobody knows anything.

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -114,8 +114,16 @@
         }
     }
 
+    /// Whether the node may call the store now: while nobody gets an answer, the nodes take turns.
+    #[must_use]
+    pub fn may_ask(&self, now: Timestamp, kind: ObjectKind) -> bool {
+        let knows_all = !self.replica.versions().is_empty();
+        self.exchange.may_ask(now, kind, knows_all)
+    }
+
     /// Whether the store answered the last call for objects of a kind.
-    pub fn note_store(&mut self, kind: ObjectKind, usable: bool) {
+    pub fn note_store(&mut self, now: Timestamp, kind: ObjectKind, usable: bool) {
+        self.exchange.note_call(now, kind, usable);
         self.store_usable[kind as usize] = usable;
         self.exchange
             .set_store_usable(self.store_usable == [true; 2]);
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -13,6 +13,7 @@
 //! Unlike [`crate::node::membership`] this needs no agreed member list: nothing is decided by
 //! who takes part, so a sample of live peers is enough.
 
+mod asking;
 mod candidates;
 mod effect;
 mod fetches;
@@ -37,6 +38,7 @@
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
+use asking::AskPacer;
 use candidates::{ClaimTable, ranks_before};
 use fetches::{FetchPurpose, FetchTable};
 use peers::PeerTable;
@@ -73,6 +75,7 @@
     claimed_since: Option<Timestamp>,
     store_usable: bool,
     clock: FreshnessClock,
+    pacer: AskPacer,
     /// The last confirmation that was pushed on.
     told_confirmation: Timestamp,
     distrust_until: Timestamp,
@@ -103,6 +106,7 @@
             claimed_since: None,
             store_usable: true,
             clock: FreshnessClock::default(),
+            pacer: AskPacer::new(),
             told_confirmation: Timestamp::ZERO,
             distrust_until: Timestamp::ZERO,
             introductions: INTRODUCTIONS,
@@ -153,6 +157,7 @@
                 effects.push(ExchangeEffect::PeerLost(lost));
             }
             self.renew_claim(now);
+            self.draw_first_turns(now);
             self.send_round(now, own, &mut effects);
         }
         self.fetch_if_behind(now, own, &behind, &mut effects);
@@ -179,17 +184,22 @@
             }
             return effects;
         }
+        self.pacer.heard(now);
         if self.peers.heard(now, from, heartbeat) {
             effects.push(ExchangeEffect::PeerJoined(from));
         }
         for address in &heartbeat.peers {
             if *address != self.own_address {
+                self.note_mention(*address);
                 self.peers.suggest(now, *address);
             }
         }
         self.note_claims(now, &heartbeat.claims);
-        if !behind(heartbeat.versions) {
-            self.hear_confirmation(now, heartbeat.confirmed_age_milliseconds, own, &mut effects);
+        if let Some(confirmed_at) = self.confirmation(now, heartbeat) {
+            self.pacer.peer_confirmed(confirmed_at);
+            if !behind(heartbeat.versions) {
+                self.hear_confirmation(now, confirmed_at, own, &mut effects);
+            }
         }
         self.reply(now, from, heartbeat, own, &mut effects);
         self.fetch_if_behind(now, own, &behind, &mut effects);
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -44,6 +44,11 @@
             .map(|(address, record)| (*address, record))
     }
 
+    /// Whether a peer is known, be it only by hearsay.
+    pub(super) fn knows(&self, address: SocketAddrV4) -> bool {
+        self.records.contains_key(&address)
+    }
+
     /// Notes that a peer spoke. Returns whether it was not known to be alive.
     pub(super) fn heard(
         &mut self,
--- a/crates/bellyoke-core/src/cookie/exchange/watching.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/watching.rs
@@ -1,7 +1,7 @@
 //! Who watches the store, and how long the others may rest.
 
 use super::candidates::{CLAIM_LIFETIME, StoreDuty, WatcherClaim};
-use super::{Exchange, ExchangeEffect};
+use super::{Exchange, ExchangeEffect, Heartbeat};
 use crate::cookie::follower::{Freshness, WatchPlan};
 use crate::cookie::freshness::ObjectKind;
 use crate::cookie::replica::Versions;
@@ -44,6 +44,7 @@
     /// The process stood still: what peers said meanwhile may be old.
     pub fn stalled(&mut self, now: Timestamp) {
         self.clock.forget();
+        self.pacer.stalled();
         self.distrust_until = now.after(DISTRUST);
     }
 
@@ -108,22 +109,24 @@
         self.claimed_since = None;
     }
 
-    /// A peer that this node isn't behind was confirmed so long ago: so is this node.
+    /// When the sender of a heartbeat was last confirmed, if that can be trusted.
+    pub(super) fn confirmation(&self, now: Timestamp, heartbeat: &Heartbeat) -> Option<Timestamp> {
+        if now < self.distrust_until {
+            return None;
+        }
+        let age = heartbeat.confirmed_age_milliseconds?;
+        Some(now.before(Duration::from_millis(u64::from(age))))
+    }
+
+    /// A peer that this node isn't behind was confirmed at a time: so is this node.
     pub(super) fn hear_confirmation(
         &mut self,
         now: Timestamp,
-        age_milliseconds: Option<u32>,
+        confirmed_at: Timestamp,
         own: Versions,
         effects: &mut Vec<ExchangeEffect>,
     ) {
-        let Some(age) = age_milliseconds else {
-            return;
-        };
-        if now < self.distrust_until {
-            return;
-        }
-        let age = Duration::from_millis(u64::from(age));
-        self.clock.confirm_all(now.before(age));
+        self.clock.confirm_all(confirmed_at);
         self.push_confirmation(now, own, effects);
     }
 
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -414,7 +414,8 @@
 fn while_the_store_answers_nobody_nobody_is_a_reader() {
     let mut cluster = watched(10);
     for node in cluster.nodes.values_mut() {
-        node.coordinator.note_store(ObjectKind::Instances, false);
+        node.coordinator
+            .note_store(at(cluster.now), ObjectKind::Instances, false);
     }
     cluster.run(5_000);
     assert!(cluster.with_duty(StoreDuty::Reader).is_empty());
@@ -446,7 +447,7 @@
     for backup in &backups {
         let node = cluster.nodes.get_mut(backup).unwrap();
         node.coordinator
-            .note_store(ObjectKind::Configuration, false);
+            .note_store(at(0), ObjectKind::Configuration, false);
     }
     cluster.run(10_000);
     let reader = cluster.with_duty(StoreDuty::Reader);
@@ -528,6 +529,72 @@
     assert!(outcome.effects.contains(&fetch), "one introduction is left");
 }
 
+/// A node that was confirmed at 10 s, whose calls to the store fail since then, and that hears
+/// others told of by `age`, milliseconds, at `hears`.
+fn unanswered(hears: u64, age: u32) -> Coordinator {
+    let mut node = newborn();
+    let empty = || Update::Whole {
+        at: Revision(9),
+        items: Vec::new(),
+    };
+    node.instances(at(10_000), empty());
+    let routes = vec![configuration(9, &[("till", 1)])];
+    let routes = Update::Whole {
+        at: Revision(9),
+        items: routes,
+    };
+    node.configurations(at(10_000), routes);
+    for kind in ObjectKind::ALL {
+        node.note_store(at(10_000), kind, false);
+    }
+    let heartbeat = |number: u8| Heartbeat {
+        versions: Versions {
+            configuration: Revision(20),
+            configuration_as_of: Revision(20),
+            ..node.replica().versions()
+        },
+        leaving: false,
+        confirmed_age_milliseconds: Some(age),
+        claims: Vec::new(),
+        peers: vec![address(usize::from(number)); 6],
+        failing: Vec::new(),
+    };
+    let heartbeats = (1..=200).map(heartbeat).collect::<Vec<_>>();
+    for now in (10_000..=hears).step_by(100) {
+        node.tick(at(now));
+    }
+    for (number, heartbeat) in heartbeats.into_iter().enumerate() {
+        let datagram = PeerDatagram::Heartbeat(heartbeat);
+        node.datagram(at(hears), address(number + 1), datagram);
+    }
+    node
+}
+
+/// When a node first calls the store for instances, milliseconds; none within a minute.
+fn first_call(node: &Coordinator, from: u64) -> Option<u64> {
+    let mut times = (from..from + 60_000).step_by(100);
+    times.find(|now| {
+        let rests = match node.watch_plan(at(*now), ObjectKind::Instances) {
+            WatchPlan::RestUntil(until) => at(*now) < until,
+            WatchPlan::Watch(_) => false,
+        };
+        !rests && node.may_ask(at(*now), ObjectKind::Instances)
+    })
+}
+
+#[test]
+fn a_node_that_hears_nobody_asks_once_its_state_is_stale() {
+    let asked_at = first_call(&unanswered(10_000, 60_000), 11_000);
+    assert_eq!(asked_at, Some(11_500));
+}
+
+#[test]
+fn a_node_behind_confirmed_peers_asks_soon() {
+    // It hears them at 11.4 s, and they were confirmed just then; stale is its state at 11.5 s.
+    let asked_at = first_call(&unanswered(11_400, 0), 11_400).unwrap();
+    assert!((12_500..=13_000).contains(&asked_at), "{asked_at}");
+}
+
 /// A node that knows nothing.
 fn newborn() -> Coordinator {
     let exchange = Exchange::new(ExchangeSettings::default(), address(0), Vec::new(), 1);
@@ -598,7 +665,7 @@
     let versions = snapshot.versions;
     listener.snapshot(at(0), reader, snapshot);
     // Else it would take itself for the reader.
-    listener.note_store(ObjectKind::Instances, false);
+    listener.note_store(at(0), ObjectKind::Instances, false);
     let heartbeat = |age| {
         PeerDatagram::Heartbeat(Heartbeat {
             versions,
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -87,6 +87,7 @@
         now: Timestamp,
         address: SocketAddrV4,
         seeds: Vec<SocketAddrV4>,
+        exchange: ExchangeSettings,
         ablations: Vec<Ablation>,
         seed: u64,
     ) -> Self {
@@ -115,7 +116,7 @@
             ablations,
             coordinator: Coordinator::new(
                 Replica::new(tombstone_lifetime),
-                Exchange::new(ExchangeSettings::default(), address, seeds, seed),
+                Exchange::new(exchange, address, seeds, seed),
             ),
             table: ForwardingTable::default(),
             forwarder: Forwarder::new(health),
@@ -267,7 +268,7 @@
     }
 
     fn store_call(&mut self, now: Timestamp, kind: ObjectKind) -> Option<StoreCall> {
-        if self.calls[kind as usize].is_some() {
+        if self.calls[kind as usize].is_some() || !self.coordinator.may_ask(now, kind) {
             return None;
         }
         let plan = self.watch_plan(now, kind);
@@ -335,7 +336,8 @@
     ) -> Outcome {
         let update = self.instances.answer(now, answer, &mut self.random);
         let usable = self.instances.is_usable();
-        self.coordinator.note_store(ObjectKind::Instances, usable);
+        self.coordinator
+            .note_store(now, ObjectKind::Instances, usable);
         let Some(mut update) = update else {
             return Outcome::default();
         };
@@ -360,7 +362,7 @@
         let update = self.configurations.answer(now, answer, &mut self.random);
         let usable = self.configurations.is_usable();
         self.coordinator
-            .note_store(ObjectKind::Configuration, usable);
+            .note_store(now, ObjectKind::Configuration, usable);
         match update {
             Some(update) => self.coordinator.configurations(now, update),
             None => Outcome::default(),
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -3,6 +3,7 @@
 use super::link::LinkSettings;
 use super::router::RouterHash;
 use super::store::StoreMode;
+use bellyoke_core::cookie::exchange::ExchangeSettings;
 use bellyoke_core::cookie::route::{Configuration, Route, WeightedService};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
@@ -146,6 +147,8 @@
     pub loss: f64,
     /// The links of the nodes' machines; none are wide enough for all.
     pub node_links: Option<LinkSettings>,
+    /// How nodes pace what they tell each other.
+    pub exchange: ExchangeSettings,
     /// How long it lasts.
     pub length: Duration,
     /// What happens, and when, milliseconds from the start.
@@ -166,6 +169,7 @@
             probes: 4,
             loss: 0.0,
             node_links: None,
+            exchange: ExchangeSettings::default(),
             length: Duration::from_secs(20),
             actions: Vec::new(),
             ablations: Vec::new(),
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -103,6 +103,7 @@
             self.now,
             peer_address(node),
             seeds,
+            self.scenario.exchange,
             self.scenario.ablations.clone(),
             self.random.random(),
         );
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -1,5 +1,6 @@
 //! Each rule holds in the model, and is broken once the mechanism that keeps it is taken out.
 
+use bellyoke_core::cookie::exchange::ExchangeSettings;
 use bellyoke_lab::cookie::link::LinkSettings;
 use bellyoke_lab::cookie::router::RouterHash;
 use bellyoke_lab::cookie::rules::Rule;
@@ -393,7 +394,7 @@
         short_clients: 60,
         long_clients: 120,
         node_links: Some(LinkSettings {
-            bytes_per_second: 8_000,
+            bytes_per_second: 7_600,
             longest_wait: ms(50),
         }),
         ..calm()
@@ -575,6 +576,37 @@
     assert!(many < few * 2, "{few} calls with 10 nodes, {many} with 40");
 }
 
+/// A store that answers nobody must not be asked the more the more nodes there are: when it comes
+/// back it would be asked by all of them.
+#[test]
+fn calls_to_a_store_that_is_down_do_not_grow_with_the_nodes() {
+    for mode in [StoreMode::Busy, StoreMode::Silent] {
+        let calls = |nodes: usize, length: u64| {
+            // As on the users' deployments of hundreds of nodes.
+            let exchange = ExchangeSettings {
+                freshness_bound: ms(3_000),
+                ..ExchangeSettings::default()
+            };
+            let scenario = Scenario {
+                nodes,
+                length: ms(length),
+                exchange,
+                ..calm()
+            };
+            let scenario = scenario
+                .at(12_000, Action::Store(mode))
+                .at(22_000, Action::Store(StoreMode::Up))
+                .at(22_500, Action::Configure { probe: Some(1) });
+            let report = play(scenario, 1);
+            assert_eq!(report.violations, []);
+            report.store_calls
+        };
+        let counts = [10, 40, 200].map(|nodes| calls(nodes, 24_000) - calls(nodes, 12_000));
+        let [fewest, most] = [counts.iter().min(), counts.iter().max()].map(Option::unwrap);
+        assert!(most * 2 < fewest * 3, "{mode:?}: {counts:?} calls");
+    }
+}
+
 #[test]
 fn lossy_links_break_nothing() {
     let scenario = Scenario {
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -15,8 +15,8 @@
 /// Longest rest before the node looks again whether it has to ask the store.
 const LONGEST_REST: Duration = Duration::from_millis(200);
 
-/// Time between two looks at whether a call is still needed. A tenth of the time that a list takes
-/// where dropping it is worth anything.
+/// Time between two looks at whether a call is still needed, or may be made. A tenth of the time
+/// that a list takes where dropping it is worth anything, a quarter of that between two turns.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Follows one kind of object for the life of the process, and hands news to `apply`.
@@ -31,16 +31,21 @@
     let mut follower = Follower::new(settings);
     let mut usable = true;
     loop {
-        let next = {
+        let (next, may_ask) = {
             let control = link.control.borrow();
             follower.skip_to(control.known_up_to(kind));
-            follower.next(clock.now(), control.watch_plan(kind))
+            let next = follower.next(clock.now(), control.watch_plan(kind));
+            (next, control.may_ask(kind))
         };
         let read = match next {
             Next::WaitUntil(time) => {
                 tokio::time::sleep(rest(clock.now(), time)).await;
                 continue;
             }
+            Next::Call(_) if !may_ask => {
+                tokio::time::sleep(LOOK_INTERVAL).await;
+                continue;
+            }
             Next::Call(read) => read,
         };
         let asked_at = clock.now();
@@ -53,9 +58,10 @@
         let mut control = link.control.borrow_mut();
         count(control.metrics(), kind, &read, &answer, took);
         let update = follower.answer(clock.now(), answer, control.random());
+        control.note_call(kind, follower.is_usable());
         if follower.is_usable() != usable {
             usable = !usable;
-            control.note_store(kind, usable);
+            control.log_store(kind, usable);
         }
         let effects = update.map(|update| apply(&mut control, update));
         drop(control);
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -183,9 +183,20 @@
         self.coordinator.known_up_to(kind)
     }
 
-    /// The store answers calls for a kind, or has ceased to.
-    pub fn note_store(&mut self, kind: ObjectKind, usable: bool) {
-        self.coordinator.note_store(kind, usable);
+    /// Whether the node may call the store for a kind now.
+    #[must_use]
+    pub fn may_ask(&self, kind: ObjectKind) -> bool {
+        self.coordinator.may_ask(self.clock.now(), kind)
+    }
+
+    /// The store has answered a call for a kind, or not.
+    pub fn note_call(&mut self, kind: ObjectKind, answered: bool) {
+        self.coordinator
+            .note_store(self.clock.now(), kind, answered);
+    }
+
+    /// The store answers calls for a kind again, or has ceased to.
+    pub fn log_store(&self, kind: ObjectKind, usable: bool) {
         let event = if usable {
             EventCode::StoreReachable
         } else {
