--- a/crates/bellyoke-core/src/cookie/exchange/settings.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/settings.rs
@@ -15,7 +15,8 @@
     pub peer_lifetime: Duration,
     /// How long a node that is behind waits for the store to tell it, before it asks a peer.
     pub patience: Duration,
-    /// Shortest time between two fetches.
+    /// Shortest time between the beginnings of two fetches, and how long one must have brought
+    /// nothing before another begins beside it.
     pub fetch_interval: Duration,
     /// How old the last confirmation may be before a node asks the store itself. Well below the
     /// time within which a change must be in force.
