--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -118,6 +118,7 @@
     StallDetected = 816, Warn, "The process stood still; openings that waited in its socket are dropped.";
     RoleChanged = 817, Info, "This node reads the store for all (Reader), backs up the one that does (Backup), or rests while these tell it enough (Listener).";
     LinkPaced = 818, Warn, "Data that this node sent was lost; bulk data is paced at the rate that its link seems to carry.";
+    ZonesChanged = 820, Info, "Operators have drained zones, or restored them; the line tells which are drained.";
     LinkFree = 819, Info, "Nothing was lost for long; bulk data is sent at once again.";
     PeerJoined = 821, Info, "A peer was heard that was not known to be alive.";
     PeerLost = 822, Info, "A peer was silent for too long, or has left.";
--- a/crates/bellyoke-core/benches/cookie.rs
+++ b/crates/bellyoke-core/benches/cookie.rs
@@ -140,6 +140,7 @@
         revision: Revision(1),
         version: 1,
         routes: (0..services).map(route).collect(),
+        limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
     });
     let records = (0..instances).map(record).collect();
--- a/crates/bellyoke-core/examples/embed_cookie.rs
+++ b/crates/bellyoke-core/examples/embed_cookie.rs
@@ -42,6 +42,7 @@
                 weight: 1,
             }],
         }],
+        limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
     });
     replica.replace_instances(now, Revision(2), vec![instance(1), instance(2)]);
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -13,6 +13,7 @@
 use crate::cookie::revision::Revision;
 use crate::cookie::route::Configuration;
 use crate::cookie::stall::StallDetector;
+use crate::cookie::zones::{DrainedZone, ZoneEvent};
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -52,7 +53,7 @@
     exchange: Exchange,
     stall: StallDetector,
     /// By [`ObjectKind`]: whether the last call to the store was answered.
-    store_usable: [bool; 2],
+    store_usable: [bool; ObjectKind::COUNT],
 }
 
 impl Coordinator {
@@ -63,7 +64,7 @@
             replica,
             exchange,
             stall: StallDetector::new(),
-            store_usable: [true; 2],
+            store_usable: [true; ObjectKind::COUNT],
         }
     }
 
@@ -111,6 +112,7 @@
         match kind {
             ObjectKind::Instances => versions.directory_as_of,
             ObjectKind::Configuration => versions.configuration_as_of,
+            ObjectKind::Zones => versions.zones_as_of,
         }
     }
 
@@ -131,7 +133,7 @@
         self.exchange.note_answered(now, usable);
         self.store_usable[kind as usize] = usable;
         self.exchange
-            .set_store_usable(self.store_usable == [true; 2]);
+            .set_store_usable(self.store_usable == [true; ObjectKind::COUNT]);
     }
 
     /// The store tells of instances.
@@ -175,6 +177,20 @@
         self.told_by_store(now, ObjectKind::Configuration, before, change)
     }
 
+    /// The store tells of drained zones.
+    pub fn zones(&mut self, now: Timestamp, update: Update<DrainedZone, ZoneEvent>) -> Outcome {
+        let before = self.replica.versions();
+        let zones = match update {
+            Update::Whole { at, items } => self.replica.replace_zones(now, at, items),
+            Update::Changes { at, events } => self.replica.apply_zones(now, at, events),
+        };
+        let change = StateChange {
+            zones,
+            ..StateChange::default()
+        };
+        self.told_by_store(now, ObjectKind::Zones, before, change)
+    }
+
     /// A datagram has come from a peer.
     pub fn datagram(
         &mut self,
--- a/crates/bellyoke-core/src/cookie/delta.rs
+++ b/crates/bellyoke-core/src/cookie/delta.rs
@@ -7,7 +7,8 @@
 use crate::cookie::directory::Tombstone;
 use crate::cookie::instance::InstanceRecord;
 use crate::cookie::revision::Revision;
-use crate::cookie::route::{Configuration, Route};
+use crate::cookie::route::{Configuration, Route, ServiceLimits};
+use crate::cookie::zones::ZoneSnapshot;
 use rkyv::{Archive, Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -40,6 +41,8 @@
     pub put: Vec<Route>,
     /// Addresses of routes that are no more.
     pub removed: Vec<SocketAddrV4>,
+    /// The limits of all services, if any has changed.
+    pub limits: Option<Vec<ServiceLimits>>,
 }
 
 impl ConfigurationDelta {
@@ -55,6 +58,7 @@
     ///     revision: Revision(4),
     ///     version: 1,
     ///     routes: Vec::new(),
+    ///     limits: Vec::new(),
     ///     idle_timeout_milliseconds: 15_000,
     /// };
     /// let new = Configuration { revision: Revision(9), version: 2, ..old.clone() };
@@ -78,6 +82,7 @@
             idle_timeout_milliseconds: new.idle_timeout_milliseconds,
             put: put.map(|(_, route)| (*route).clone()).collect(),
             removed: removed.copied().collect(),
+            limits: (old.limits != new.limits).then(|| new.limits.clone()),
         })
     }
 
@@ -99,6 +104,7 @@
             revision: self.revision,
             version: self.version,
             routes: routes.into_values().cloned().collect(),
+            limits: self.limits.as_ref().unwrap_or(&old.limits).clone(),
             idle_timeout_milliseconds: self.idle_timeout_milliseconds,
         })
     }
@@ -121,12 +127,14 @@
     pub configuration: Vec<ConfigurationDelta>,
     /// Changes of the instances.
     pub directory: Option<DirectoryDelta>,
+    /// The drained zones, all of them.
+    pub zones: Option<ZoneSnapshot>,
 }
 
 impl StateDelta {
     /// Whether it tells nothing.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.configuration.is_empty() && self.directory.is_none()
+        self.configuration.is_empty() && self.directory.is_none() && self.zones.is_none()
     }
 }
--- a/crates/bellyoke-core/src/cookie/exchange/asking.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/asking.rs
@@ -52,9 +52,9 @@
     /// The newest confirmation that any peer told of, be this node behind it or not.
     peers_confirmed_at: Option<Timestamp>,
     /// By [`ObjectKind`]: the next turn if the last call has failed.
-    next_turn: [Timestamp; 2],
+    next_turn: [Timestamp; ObjectKind::COUNT],
     /// Where in the time for a turn the first one lies that follows a confirmation, 0 to 1.
-    first_turn: [f64; 2],
+    first_turn: [f64; ObjectKind::COUNT],
     /// Share of the addresses that peers mention which this node knows already.
     known_share: f64,
 }
@@ -66,8 +66,8 @@
             served_at: None,
             heard_at: None,
             peers_confirmed_at: None,
-            next_turn: [Timestamp::ZERO; 2],
-            first_turn: [0.0; 2],
+            next_turn: [Timestamp::ZERO; ObjectKind::COUNT],
+            first_turn: [0.0; ObjectKind::COUNT],
             known_share: 1.0,
         }
     }
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -105,7 +105,7 @@
             claims: ClaimTable::default(),
             claimed_since: None,
             store_usable: true,
-            clock: FreshnessClock::default(),
+            clock: FreshnessClock::new(settings.reads_zones),
             pacer: AskPacer::new(),
             told_confirmation: Timestamp::ZERO,
             distrust_until: Timestamp::ZERO,
@@ -342,7 +342,8 @@
     ) {
         let known = heartbeat.versions;
         let sender_is_behind = known.configuration < own.configuration
-            || known.directory_as_of < own.directory_changed_at;
+            || known.directory_as_of < own.directory_changed_at
+            || known.zones_as_of < own.zones_changed_at;
         let sender_is_lonely = heartbeat.peers.len() < self.settings.fanout;
         if !(sender_is_behind || sender_is_lonely) || !self.peers.may_reply(now, to) {
             return;
--- a/crates/bellyoke-core/src/cookie/exchange/packed.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/packed.rs
@@ -11,7 +11,8 @@
 use crate::cookie::instance::{InstanceId, InstanceRecord, InstanceState};
 use crate::cookie::replica::{DirectoryPart, DirectorySnapshot, Snapshot, Versions};
 use crate::cookie::revision::Revision;
-use crate::cookie::route::{Configuration, Route, WeightedService};
+use crate::cookie::route::{Configuration, Route, ServiceLimits, WeightedService};
+use crate::cookie::zones::ZoneSnapshot;
 use rkyv::{Archive, Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -25,6 +26,7 @@
     configuration: Option<PackedConfiguration>,
     directory: Option<PackedDirectory>,
     tombstones: Vec<PackedTombstone>,
+    zones: Option<ZoneSnapshot>,
 }
 
 #[derive(Debug, Archive, Serialize, Deserialize)]
@@ -35,6 +37,7 @@
     /// The lists of services that routes have.
     service_lists: Vec<Vec<PackedShare>>,
     routes: Vec<PackedRoute>,
+    limits: Vec<ServiceLimits>,
 }
 
 /// A service's share of a route.
@@ -109,6 +112,7 @@
             directory: directory.transpose()?,
             tombstones,
             names: names.into_values(),
+            zones: snapshot.zones.clone(),
         })
     }
 
@@ -128,6 +132,7 @@
             configuration: configuration.transpose()?,
             directory: directory.transpose()?,
             tombstones: unpack_tombstones(names, self.tombstones)?,
+            zones: self.zones,
         })
     }
 }
@@ -195,6 +200,7 @@
         idle_timeout_milliseconds: configuration.idle_timeout_milliseconds,
         service_lists: service_lists.into_values(),
         routes,
+        limits: configuration.limits.clone(),
     })
 }
 
@@ -218,6 +224,7 @@
         revision: packed.revision,
         version: packed.version,
         routes,
+        limits: packed.limits,
         idle_timeout_milliseconds: packed.idle_timeout_milliseconds,
     })
 }
--- a/crates/bellyoke-core/src/cookie/exchange/settings.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/settings.rs
@@ -21,6 +21,8 @@
     /// How old the last confirmation may be before a node asks the store itself. Well below the
     /// time within which a change must be in force.
     pub freshness_bound: Duration,
+    /// Whether operators may drain zones, so that nodes read which.
+    pub reads_zones: bool,
 }
 
 impl Default for ExchangeSettings {
@@ -33,6 +35,7 @@
             patience: Duration::from_millis(250),
             fetch_interval: Duration::from_millis(300),
             freshness_bound: Duration::from_millis(1_500),
+            reads_zones: false,
         }
     }
 }
--- a/crates/bellyoke-core/src/cookie/freshness.rs
+++ b/crates/bellyoke-core/src/cookie/freshness.rs
@@ -14,11 +14,27 @@
     Instances,
     /// The configuration.
     Configuration,
+    /// The zones that operators have drained.
+    Zones,
 }
 
 impl ObjectKind {
     /// All kinds.
-    pub const ALL: [Self; 2] = [Self::Instances, Self::Configuration];
+    pub const ALL: [Self; Self::COUNT] = [Self::Instances, Self::Configuration, Self::Zones];
+
+    /// How many there are.
+    pub const COUNT: usize = 3;
+
+    /// The kinds that a node reads: drained zones only where operators drain any.
+    #[must_use]
+    pub const fn read(reads_zones: bool) -> &'static [Self] {
+        const WITHOUT_ZONES: [ObjectKind; 2] = [ObjectKind::Instances, ObjectKind::Configuration];
+        if reads_zones {
+            &Self::ALL
+        } else {
+            &WITHOUT_ZONES
+        }
+    }
 
     /// Its name in logs.
     #[must_use]
@@ -26,6 +42,7 @@
         match self {
             Self::Instances => "instances",
             Self::Configuration => "configuration",
+            Self::Zones => "zones",
         }
     }
 }
@@ -38,19 +55,30 @@
 /// use std::time::Duration;
 ///
 /// let at = |seconds: u64| Timestamp::from_micros(seconds * 1_000_000);
-/// let mut clock = FreshnessClock::default();
+/// let mut clock = FreshnessClock::new(false);
 /// clock.confirm(ObjectKind::Instances, at(5));
 /// assert_eq!(clock.age(at(7)), None, "the configuration was never confirmed");
 /// clock.confirm(ObjectKind::Configuration, at(6));
 /// assert_eq!(clock.age(at(7)), Some(Duration::from_secs(2)));
 /// ```
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct FreshnessClock {
+    /// The kinds that count.
+    kinds: &'static [ObjectKind],
     /// By [`ObjectKind`].
-    confirmed_at: [Option<Timestamp>; 2],
+    confirmed_at: [Option<Timestamp>; ObjectKind::COUNT],
 }
 
 impl FreshnessClock {
+    /// Nothing was confirmed yet.
+    #[must_use]
+    pub const fn new(reads_zones: bool) -> Self {
+        Self {
+            kinds: ObjectKind::read(reads_zones),
+            confirmed_at: [None; ObjectKind::COUNT],
+        }
+    }
+
     /// The state of a kind was the newest at a time. An earlier time than is known changes
     /// nothing.
     pub fn confirm(&mut self, kind: ObjectKind, at: Timestamp) {
@@ -60,8 +88,8 @@
 
     /// All kinds were the newest at a time.
     pub fn confirm_all(&mut self, at: Timestamp) {
-        for kind in ObjectKind::ALL {
-            self.confirm(kind, at);
+        for kind in self.kinds {
+            self.confirm(*kind, at);
         }
     }
 
@@ -74,12 +102,15 @@
     /// How long ago the kind that was confirmed first was confirmed; none if one never was.
     #[must_use]
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
-        let [one, other] = self.confirmed_at;
-        Some(now.since(one?.min(other?)))
+        let mut oldest = now;
+        for kind in self.kinds {
+            oldest = oldest.min(self.confirmed_at(*kind)?);
+        }
+        Some(now.since(oldest))
     }
 
     /// Forgets all confirmations, as after a stall: what peers said meanwhile is old.
     pub const fn forget(&mut self) {
-        self.confirmed_at = [None; 2];
+        self.confirmed_at = [None; ObjectKind::COUNT];
     }
 }
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -13,7 +13,7 @@
 //!   instances from the progress of openings;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
-//!   [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
+//!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
 //!   [`exchange`] (peers), [`coordinator`] (these together), [`stall`] and [`readiness`].
 
 pub mod coordinator;
@@ -35,3 +35,4 @@
 pub mod route;
 pub mod stall;
 pub mod table;
+pub mod zones;
--- a/crates/bellyoke-core/src/cookie/readiness.rs
+++ b/crates/bellyoke-core/src/cookie/readiness.rs
@@ -1,5 +1,7 @@
 //! Whether a node wants new flows, and when it may stop.
 
+use crate::cookie::replica::Versions;
+use crate::cookie::revision::Revision;
 use crate::time::Timestamp;
 use std::time::Duration;
 
@@ -10,6 +12,8 @@
     NoConfiguration,
     /// It has no list of instances yet.
     NoInstances,
+    /// It doesn't know yet which zones are drained.
+    NoZones,
     /// It is leaving.
     Leaving,
 }
@@ -49,21 +53,24 @@
         Some(self.leaving_since?.after(self.leave_delay))
     }
 
-    /// Whether the node takes new flows.
+    /// Whether the node, which knows so much, takes new flows.
     ///
     /// # Errors
     ///
     /// Why it doesn't.
-    pub const fn ready(&self, has_configuration: bool, has_instances: bool) -> Result<(), Unready> {
+    pub fn ready(&self, known: Versions) -> Result<(), Unready> {
         if self.is_leaving() {
             return Err(Unready::Leaving);
         }
-        if !has_configuration {
+        if known.configuration == Revision::default() {
             return Err(Unready::NoConfiguration);
         }
-        if !has_instances {
+        if known.directory_changed_at == Revision::default() {
             return Err(Unready::NoInstances);
         }
+        if known.zones_changed_at == Revision::default() {
+            return Err(Unready::NoZones);
+        }
         Ok(())
     }
 }
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -1,4 +1,5 @@
-//! What one node knows: the configuration and the instances, each at a revision of the store.
+//! What one node knows: the configuration, the instances and the drained zones, each at a revision
+//! of the store.
 //!
 //! News come from the store and from peers. The newer revision wins, whoever brings it; within
 //! the life of a process nothing ever goes back.
@@ -9,6 +10,7 @@
 use crate::cookie::revision::Revision;
 use crate::cookie::route::Configuration;
 use crate::cookie::table::ForwardingTable;
+use crate::cookie::zones::{DrainedZone, ZoneDrains, ZoneEvent, ZoneSnapshot};
 use crate::time::Timestamp;
 use rkyv::{Archive, Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -69,6 +71,8 @@
     pub directory: Option<DirectoryPart>,
     /// The gone instances.
     pub tombstones: Vec<Tombstone>,
+    /// The drained zones.
+    pub zones: Option<ZoneSnapshot>,
 }
 
 /// What nodes tell each other of their knowledge, to find out who knows more.
@@ -82,14 +86,19 @@
     pub directory_changed_at: Revision,
     /// Revision up to which all changes of the instances are known.
     pub directory_as_of: Revision,
+    /// Revision of the last change of the drained zones; zero if they are not known.
+    pub zones_changed_at: Revision,
+    /// Revision up to which all changes of the drained zones are known.
+    pub zones_as_of: Revision,
 }
 
 impl Versions {
-    /// Whether the configuration or the instances are not known at all.
+    /// Whether the configuration, the instances or the drained zones are not known at all.
     #[must_use]
     pub fn is_empty(self) -> bool {
         self.configuration == Revision::default()
             || self.directory_changed_at == Revision::default()
+            || self.zones_changed_at == Revision::default()
     }
 }
 
@@ -100,13 +109,15 @@
     pub configuration: bool,
     /// Instances came, went or changed.
     pub directory: bool,
+    /// Zones were drained or restored.
+    pub zones: bool,
 }
 
 impl StateChange {
     /// Whether anything changed.
     #[must_use]
     pub const fn any(self) -> bool {
-        self.configuration || self.directory
+        self.configuration || self.directory || self.zones
     }
 }
 
@@ -119,10 +130,12 @@
     /// before.
     recent_configurations: VecDeque<ConfigurationDelta>,
     directory: Directory,
+    zones: ZoneDrains,
 }
 
 impl Replica {
-    /// A node that knows nothing and remembers gone instances for `tombstone_lifetime`.
+    /// A node that knows nothing and remembers gone instances for `tombstone_lifetime`, of a cluster
+    /// whose operators drain no zones.
     #[must_use]
     pub const fn new(tombstone_lifetime: Duration) -> Self {
         Self {
@@ -130,6 +143,16 @@
             configuration_as_of: Revision(0),
             recent_configurations: VecDeque::new(),
             directory: Directory::new(tombstone_lifetime),
+            zones: ZoneDrains::none(),
+        }
+    }
+
+    /// The same of a cluster whose operators may drain zones, so that it has to learn which.
+    #[must_use]
+    pub fn reading_zones(tombstone_lifetime: Duration) -> Self {
+        Self {
+            zones: ZoneDrains::unknown(),
+            ..Self::new(tombstone_lifetime)
         }
     }
 
@@ -145,6 +168,12 @@
         &self.directory
     }
 
+    /// The drained zones.
+    #[must_use]
+    pub const fn zones(&self) -> &ZoneDrains {
+        &self.zones
+    }
+
     /// How much this node knows.
     #[must_use]
     pub fn versions(&self) -> Versions {
@@ -153,10 +182,12 @@
             configuration_as_of: self.configuration_as_of,
             directory_changed_at: self.directory.changed_at(),
             directory_as_of: self.directory.as_of().unwrap_or_default(),
+            zones_changed_at: self.zones.changed_at(),
+            zones_as_of: self.zones.as_of().unwrap_or_default(),
         }
     }
 
-    /// Whether a peer with `versions` knows something that this node doesn't. The directory is
+    /// Whether a peer with `versions` knows something that this node doesn't. Directory and zones are
     /// compared with the revision up to which this node has heard, so that a peer that counted
     /// a change otherwise is not taken for newer.
     #[must_use]
@@ -164,6 +195,7 @@
         let heard = self.directory.as_of().unwrap_or_default();
         versions.configuration > self.configuration_revision()
             || versions.directory_changed_at > heard
+            || versions.zones_changed_at > self.zones.as_of().unwrap_or_default()
     }
 
     /// Takes over a configuration if it is newer. Returns whether it was.
@@ -191,6 +223,8 @@
         }
         self.directory
             .confirm(versions.directory_changed_at, versions.directory_as_of);
+        self.zones
+            .confirm(versions.zones_changed_at, versions.zones_as_of);
     }
 
     /// What a peer with `versions` lacks; none if it lacks nothing, or more than a delta tells.
@@ -201,6 +235,7 @@
             directory: (self.directory.changed_at() > versions.directory_as_of)
                 .then(|| self.directory.delta_since(now, versions.directory_as_of))
                 .flatten(),
+            zones: self.zones_for(now, versions),
         };
         (!delta.is_empty()).then_some(delta)
     }
@@ -218,9 +253,22 @@
         if let Some(delta) = delta.directory {
             change.directory = self.directory.apply_delta(now, delta);
         }
+        if let Some(zones) = delta.zones {
+            change.zones = self.zones.adopt(now, zones);
+        }
         change
     }
 
+    /// Takes over a whole list of drained zones. Returns whether it tells anything new.
+    pub fn replace_zones(&mut self, now: Timestamp, at: Revision, zones: Vec<DrainedZone>) -> bool {
+        self.zones.replace(now, at, zones)
+    }
+
+    /// Takes over changes of drained zones. Returns whether there were any.
+    pub fn apply_zones(&mut self, now: Timestamp, at: Revision, events: Vec<ZoneEvent>) -> bool {
+        self.zones.apply(now, at, events)
+    }
+
     /// Takes over a whole list of instances. Returns whether anything changed.
     pub fn replace_instances(
         &mut self,
@@ -260,12 +308,16 @@
             }
         }
         change.directory |= self.directory.learn_tombstones(now, snapshot.tombstones);
+        if let Some(zones) = snapshot.zones {
+            change.zones = self.zones.adopt(now, zones);
+        }
         self.confirm(snapshot.versions);
         change
     }
 
     /// Forgets what is too old to matter. Returns whether anything was.
     pub fn expire(&mut self, now: Timestamp) -> bool {
+        self.zones.expire(now);
         self.directory.expire(now)
     }
 
@@ -286,13 +338,14 @@
                 .cloned(),
             directory: self.directory_part(now, versions.directory_as_of),
             tombstones: self.directory.tombstones(now),
+            zones: self.zones_for(now, versions),
         }
     }
 
     /// The table for traffic threads.
     #[must_use]
     pub fn table(&self) -> ForwardingTable {
-        ForwardingTable::new(self.configuration(), &self.directory)
+        ForwardingTable::new(self.configuration(), &self.directory, &self.zones)
     }
 
     fn configuration_revision(&self) -> Revision {
@@ -315,6 +368,12 @@
         }))
     }
 
+    /// The drained zones for a peer with `versions`; none if it knows them.
+    fn zones_for(&self, now: Timestamp, versions: Versions) -> Option<ZoneSnapshot> {
+        let lacks = self.zones.changed_at() > versions.zones_as_of;
+        lacks.then(|| self.zones.snapshot(now)).flatten()
+    }
+
     /// The changes that lead from the configuration of a revision to the one in force; none if
     /// one of them is not known any more.
     fn configuration_deltas_since(&self, since: Revision) -> Vec<ConfigurationDelta> {
--- a/crates/bellyoke-core/src/cookie/route.rs
+++ b/crates/bellyoke-core/src/cookie/route.rs
@@ -23,6 +23,18 @@
     pub services: Vec<WeightedService>,
 }
 
+/// How a service's instances work while they are cold: for some seconds after their start, or after
+/// their zone was restored.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ServiceLimits {
+    /// Name of the service.
+    pub service: String,
+    /// How long an instance stays cold, milliseconds.
+    pub cold_milliseconds: u32,
+    /// Flows that a cold instance bears in a minute.
+    pub cold_flows_per_minute: u32,
+}
+
 /// One version of the whole configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Configuration {
@@ -32,6 +44,8 @@
     pub version: u64,
     /// All routes.
     pub routes: Vec<Route>,
+    /// What its services bear.
+    pub limits: Vec<ServiceLimits>,
     /// How long a flow may rest before it may be forgotten, milliseconds.
     pub idle_timeout_milliseconds: u32,
 }
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -4,10 +4,12 @@
 use crate::cookie::instance::{Cookie, InstanceId, InstanceState};
 use crate::cookie::packet::Destination;
 use crate::cookie::revision::Revision;
-use crate::cookie::route::{Configuration, Route};
+use crate::cookie::route::{Configuration, Route, ServiceLimits};
+use crate::cookie::zones::ZoneDrains;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 /// An instance that may take new flows of its service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +24,8 @@
     pub warm_at: Timestamp,
     /// When its record went, if it has.
     pub gone_at: Option<Timestamp>,
+    /// Flows that it bears in a minute while it is cold.
+    pub cold_flows_per_minute: u32,
 }
 
 impl Candidate {
@@ -55,8 +59,8 @@
     /// Sorted by cookie.
     destinations: Vec<(Cookie, Destination)>,
     configuration_version: u64,
-    /// Whether a list of instances is known, be it an empty one.
-    has_instances: bool,
+    /// Whether lists of instances and of drained zones are known, be they empty.
+    has_lists: bool,
     configuration_revision: Revision,
     directory_revision: Revision,
 }
@@ -64,19 +68,28 @@
 impl ForwardingTable {
     /// The table for a configuration and the instances known at the same time.
     #[must_use]
-    pub fn new(configuration: Option<&Configuration>, directory: &Directory) -> Self {
+    pub fn new(
+        configuration: Option<&Configuration>,
+        directory: &Directory,
+        zones: &ZoneDrains,
+    ) -> Self {
         let destinations = destinations(directory);
         let mut services = ServiceIndexes::default();
+        let limits = configuration.map_or(&[][..], |held| &held.limits[..]);
+        services.limits = limits
+            .iter()
+            .map(|limits| (&limits.service[..], limits))
+            .collect();
         let routes = configuration.map_or(&[][..], |held| &held.routes[..]);
         let mut routes: Vec<_> = routes.iter().map(|route| services.resolve(route)).collect();
         routes.sort_unstable_by_key(|(address, _)| *address);
         routes.dedup_by_key(|(address, _)| *address);
         Self {
             routes,
-            candidates: services.candidates(directory, &destinations),
+            candidates: services.candidates(directory, zones, &destinations),
             destinations,
             configuration_version: configuration.map_or(0, |held| held.version),
-            has_instances: directory.as_of().is_some(),
+            has_lists: directory.as_of().is_some() && zones.as_of().is_some(),
             configuration_revision: configuration
                 .map_or_else(Revision::default, |held| held.revision),
             directory_revision: directory.changed_at(),
@@ -112,10 +125,10 @@
         self.destinations.iter().map(|(cookie, _)| *cookie)
     }
 
-    /// Whether routes and instances are known. Until then nothing may be refused.
+    /// Whether routes, instances and drained zones are known. Until then nothing may be refused.
     #[must_use]
     pub const fn is_informed(&self) -> bool {
-        self.configuration_version != 0 && self.has_instances
+        self.configuration_version != 0 && self.has_lists
     }
 
     /// The operators' number for the configuration.
@@ -161,10 +174,25 @@
     entries.collect()
 }
 
+/// From when on an instance works at full speed. One whose zone was restored after its record last
+/// changed may be cold though the record doesn't tell.
+fn warm_at(known: &KnownInstance, zones: &ZoneDrains, limits: Option<&ServiceLimits>) -> Timestamp {
+    let restoration = zones.restoration(&known.record.zone);
+    let restoration =
+        restoration.filter(|restoration| restoration.revision >= known.record.revision);
+    let Some((restoration, limits)) = restoration.zip(limits) else {
+        return known.warm_at;
+    };
+    let cold = Duration::from_millis(u64::from(limits.cold_milliseconds));
+    known.warm_at.max(restoration.at.after(cold))
+}
+
 /// Services that routes name, numbered as they come.
 #[derive(Default)]
 struct ServiceIndexes<'configuration> {
     indexes: BTreeMap<&'configuration str, usize>,
+    /// What they bear, as far as the configuration tells.
+    limits: BTreeMap<&'configuration str, &'configuration ServiceLimits>,
 }
 
 impl<'configuration> ServiceIndexes<'configuration> {
@@ -184,6 +212,7 @@
     fn candidates(
         &self,
         directory: &Directory,
+        zones: &ZoneDrains,
         destinations: &[(Cookie, Destination)],
     ) -> Vec<Vec<Candidate>> {
         let mut candidates = vec![Vec::new(); self.indexes.len()];
@@ -196,15 +225,18 @@
             let Some(&service) = self.indexes.get(&record.service[..]) else {
                 continue;
             };
-            if record.state != InstanceState::Ready || !holders.contains(&record.id) {
+            let is_drained = record.state != InstanceState::Ready || zones.is_drained(&record.zone);
+            if is_drained || !holders.contains(&record.id) {
                 continue;
             }
+            let limits = self.limits.get(&record.service[..]).copied();
             candidates[service].push(Candidate {
                 id: record.id,
                 cookie: Cookie::of(record.id),
                 address: record.address,
-                warm_at: known.warm_at,
+                warm_at: warm_at(known, zones, limits),
                 gone_at: known.gone_at,
+                cold_flows_per_minute: limits.map_or(0, |limits| limits.cold_flows_per_minute),
             });
         }
         candidates
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -11,3 +11,4 @@
 mod replica;
 mod stall;
 mod support;
+mod zones;
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -20,6 +20,8 @@
             configuration_as_of: Revision(u64::MAX),
             directory_changed_at: Revision(7),
             directory_as_of: Revision(9),
+            zones_changed_at: Revision(u64::MAX),
+            zones_as_of: Revision(u64::MAX),
         },
         leaving: false,
         confirmed_age_milliseconds: Some(750),
--- a/crates/bellyoke-core/tests/cookie/support.rs
+++ b/crates/bellyoke-core/tests/cookie/support.rs
@@ -55,6 +55,7 @@
             address: SERVICE,
             services: services.collect(),
         }],
+        limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
     }
 }
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -17,9 +17,11 @@
 use bellyoke_core::cookie::packet::{Destination, PacketRole};
 use bellyoke_core::cookie::readiness::Lifecycle;
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Versions};
+use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::cookie::stall::{BacklogGuard, TickReport};
 use bellyoke_core::cookie::table::ForwardingTable;
+use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use bellyoke_core::time::Timestamp;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -62,6 +64,22 @@
     pub patience: Duration,
 }
 
+/// A node that knows nothing yet.
+fn replica(exchange: &ExchangeSettings, tombstone_lifetime: Duration) -> Replica {
+    if exchange.reads_zones {
+        Replica::reading_zones(tombstone_lifetime)
+    } else {
+        Replica::new(tombstone_lifetime)
+    }
+}
+
+const fn nothing_drained(at: Revision) -> Update<DrainedZone, ZoneEvent> {
+    Update::Whole {
+        at,
+        items: Vec::new(),
+    }
+}
+
 /// One run of a node's process.
 #[derive(Debug)]
 pub struct Node {
@@ -72,9 +90,11 @@
     lifecycle: Lifecycle,
     ticks: TickReport,
     guard: BacklogGuard,
+    reads_zones: bool,
     instances: Follower<InstanceRecord>,
     configurations: Follower<Configuration>,
-    calls: [Option<u64>; 2],
+    zones: Follower<DrainedZone>,
+    calls: [Option<u64>; ObjectKind::COUNT],
     next_call: u64,
     random: ChaCha8Rng,
     told_failing: Vec<Cookie>,
@@ -115,7 +135,7 @@
         Self {
             ablations,
             coordinator: Coordinator::new(
-                Replica::new(tombstone_lifetime),
+                replica(&exchange, tombstone_lifetime),
                 Exchange::new(exchange, address, seeds, seed),
             ),
             table: ForwardingTable::default(),
@@ -126,9 +146,11 @@
                 stalls: 0,
             },
             guard: BacklogGuard::default(),
+            reads_zones: exchange.reads_zones,
             instances: Follower::new(follower),
             configurations: Follower::new(follower),
-            calls: [None, None],
+            zones: Follower::new(follower),
+            calls: [None; ObjectKind::COUNT],
             next_call: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             told_failing: Vec::new(),
@@ -138,10 +160,8 @@
     /// Whether it takes new flows.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let replica = self.coordinator.replica();
-        let configured = replica.configuration().is_some();
-        let informed = replica.directory().as_of().is_some();
-        self.lifecycle.ready(configured, informed).is_ok()
+        let known = self.coordinator.replica().versions();
+        self.lifecycle.ready(known).is_ok()
     }
 
     /// It is asked to stop.
@@ -261,9 +281,9 @@
 
     /// The calls to make now.
     pub fn store_calls(&mut self, now: Timestamp) -> Vec<StoreCall> {
-        ObjectKind::ALL
-            .into_iter()
-            .filter_map(|kind| self.store_call(now, kind))
+        let kinds = ObjectKind::read(self.reads_zones).iter();
+        kinds
+            .filter_map(|kind| self.store_call(now, *kind))
             .collect()
     }
 
@@ -282,6 +302,10 @@
                 self.configurations.skip_to(known_up_to);
                 self.configurations.next(now, plan)
             }
+            ObjectKind::Zones => {
+                self.zones.skip_to(known_up_to);
+                self.zones.next(now, plan)
+            }
         };
         let Next::Call(mut read) = next else {
             return None;
@@ -326,6 +350,7 @@
         let outcome = match answer {
             StoreAnswer::Instances(answer) => self.take_instances(now, answer),
             StoreAnswer::Configurations(answer) => self.take_configurations(now, answer),
+            StoreAnswer::Zones(answer) => self.take_zones(now, answer),
         };
         self.publish(outcome)
     }
@@ -370,6 +395,19 @@
         }
     }
 
+    fn take_zones(&mut self, now: Timestamp, answer: Answer<DrainedZone, ZoneEvent>) -> Outcome {
+        let update = self.zones.answer(now, answer, &mut self.random);
+        let usable = self.zones.is_usable();
+        self.coordinator.note_store(now, ObjectKind::Zones, usable);
+        match update {
+            Some(update) if !self.lacks(Ablation::IgnoreDrainedZones) => {
+                self.coordinator.zones(now, update)
+            }
+            Some(Update::Whole { at, .. }) => self.coordinator.zones(now, nothing_drained(at)),
+            Some(_) | None => Outcome::default(),
+        }
+    }
+
     /// Whether it watches the store for others.
     #[must_use]
     pub fn watches(&self, now: Timestamp) -> bool {
--- a/crates/bellyoke-lab/src/cookie/rules.rs
+++ b/crates/bellyoke-lab/src/cookie/rules.rs
@@ -41,6 +41,8 @@
     Route,
     /// A leaving target gets no new flow.
     Drain,
+    /// The targets of a drained zone get no new flow.
+    ZoneDrain,
     /// A configuration is in force within its bound.
     Configuration,
     /// An open flow stays whole.
@@ -77,6 +79,19 @@
     },
 }
 
+/// Where an opening arrived, and by whom.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// The target.
+    pub target: InstanceId,
+    /// Index of its service.
+    pub service: usize,
+    /// Index of its zone.
+    pub zone: usize,
+    /// Whether the node that passed it on was undisturbed.
+    pub in_touch: bool,
+}
+
 #[derive(Debug)]
 struct OpenFlow {
     target: InstanceId,
@@ -99,6 +114,7 @@
     routed: BTreeSet<(SocketAddrV4, usize)>,
     versions: Vec<Version>,
     leaving: BTreeMap<InstanceId, Timestamp>,
+    drained_zones: BTreeMap<usize, Timestamp>,
     open: BTreeMap<(SocketAddrV4, SocketAddrV4), OpenFlow>,
     opening_sent: BTreeMap<(SocketAddrV4, SocketAddrV4), Timestamp>,
     killed_all_at: Option<Timestamp>,
@@ -145,6 +161,16 @@
         self.leaving.entry(id).or_insert(now);
     }
 
+    /// The operator's drain of a zone was accepted.
+    pub fn zone_drained(&mut self, now: Timestamp, zone: usize) {
+        self.drained_zones.entry(zone).or_insert(now);
+    }
+
+    /// A drained zone was taken back.
+    pub fn zone_restored(&mut self, zone: usize) {
+        self.drained_zones.remove(&zone);
+    }
+
     /// All nodes were killed.
     pub const fn killed_all(&mut self, now: Timestamp) {
         self.killed_all_at = Some(now);
@@ -156,14 +182,13 @@
     }
 
     /// An opening reaches a target that takes it.
-    pub fn opening_arrives(
-        &mut self,
-        now: Timestamp,
-        flow: FlowTuple,
-        target: InstanceId,
-        service: usize,
-        in_touch: bool,
-    ) {
+    pub fn opening_arrives(&mut self, now: Timestamp, flow: FlowTuple, arrival: Arrival) {
+        let Arrival {
+            target,
+            service,
+            zone,
+            in_touch,
+        } = arrival;
         if !self.routed.contains(&(flow.service, service)) {
             let what = format!("an opening to {} ran at service {service}", flow.service);
             self.violate(Rule::Route, now, what);
@@ -173,6 +198,11 @@
             let what = format!("an opening reached target {target}, which had left");
             self.violate(Rule::Drain, now, what);
         }
+        let drained = self.drained_zones.get(&zone);
+        if in_touch && drained.is_some_and(|drained| now.since(*drained) > DRAIN_BOUND) {
+            let what = format!("an opening reached target {target} in drained zone {zone}");
+            self.violate(Rule::ZoneDrain, now, what);
+        }
         if flow.service == PROBE_ADDRESS && in_touch {
             self.judge_probe(now, flow, Some(service));
         }
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -41,6 +41,8 @@
     NoStaleLists,
     /// A node that was told once that its state is the newest never asks again.
     RestForever,
+    /// The instances of drained zones take new flows.
+    IgnoreDrainedZones,
 }
 
 /// Something that happens. Nodes and targets are numbered from zero.
@@ -77,6 +79,10 @@
         /// The target whose address it takes.
         address_of: Option<usize>,
     },
+    /// A zone is drained. Targets stand in the zones 0 to [`ZONES`] in turn.
+    DrainZone(usize),
+    /// A drained zone is taken back.
+    RestoreZone(usize),
     /// Records of all targets go, and come back when the targets next write.
     Lapse,
     /// The store changes its mode.
@@ -159,7 +165,12 @@
 
 impl Default for Scenario {
     fn default() -> Self {
+        let exchange = ExchangeSettings {
+            reads_zones: true,
+            ..ExchangeSettings::default()
+        };
         Self {
+            exchange,
             nodes: 5,
             hash: RouterHash::Modulo,
             targets: vec![8, 3],
@@ -169,7 +180,6 @@
             probes: 4,
             loss: 0.0,
             node_links: None,
-            exchange: ExchangeSettings::default(),
             length: Duration::from_secs(20),
             actions: Vec::new(),
             ablations: Vec::new(),
@@ -199,6 +209,15 @@
     }
 }
 
+/// Zones that targets stand in.
+pub const ZONES: usize = 3;
+
+/// Name of a zone.
+#[must_use]
+pub fn zone_name(index: usize) -> String {
+    format!("zone-{index}")
+}
+
 /// Name of a service.
 #[must_use]
 pub fn service_name(index: usize) -> String {
@@ -231,6 +250,7 @@
         revision: bellyoke_core::cookie::revision::Revision(0),
         version,
         routes: own.chain(probe).collect(),
+        limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
     }
 }
--- a/crates/bellyoke-lab/src/cookie/store.rs
+++ b/crates/bellyoke-lab/src/cookie/store.rs
@@ -5,6 +5,7 @@
 use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
 use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::cookie::route::Configuration;
+use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use bellyoke_core::time::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -22,13 +23,15 @@
     Throttled,
 }
 
-/// The answer to a read of either kind.
+/// The answer to a read of any kind.
 #[derive(Clone, Debug)]
 pub enum StoreAnswer {
     /// Of instances.
     Instances(Answer<InstanceRecord, InstanceEvent>),
     /// Of the configuration.
     Configurations(Answer<Configuration, Configuration>),
+    /// Of the drained zones.
+    Zones(Answer<DrainedZone, ZoneEvent>),
 }
 
 impl StoreAnswer {
@@ -38,6 +41,7 @@
         match self {
             Self::Instances(_) => ObjectKind::Instances,
             Self::Configurations(_) => ObjectKind::Configuration,
+            Self::Zones(_) => ObjectKind::Zones,
         }
     }
 
@@ -47,6 +51,7 @@
         match kind {
             ObjectKind::Instances => Self::Instances(Answer::Failed),
             ObjectKind::Configuration => Self::Configurations(Answer::Failed),
+            ObjectKind::Zones => Self::Zones(Answer::Failed),
         }
     }
 }
@@ -55,6 +60,7 @@
 enum Change {
     Instance(InstanceEvent),
     Configuration(Configuration),
+    Zone(ZoneEvent),
 }
 
 /// The store.
@@ -69,6 +75,7 @@
     revision: Revision,
     instances: BTreeMap<InstanceId, InstanceRecord>,
     configuration: Option<Configuration>,
+    drained_zones: BTreeMap<String, Revision>,
     history: VecDeque<(Timestamp, Revision, Change)>,
     forgotten: Revision,
 }
@@ -82,6 +89,7 @@
             revision: Revision(1),
             instances: BTreeMap::new(),
             configuration: None,
+            drained_zones: BTreeMap::new(),
             history: VecDeque::new(),
             forgotten: Revision(0),
         }
@@ -122,6 +130,27 @@
         self.history.push_back((now, revision, change));
     }
 
+    /// Drains a zone.
+    pub fn drain_zone(&mut self, now: Timestamp, zone: &str) {
+        let revision = self.advance();
+        self.drained_zones.insert(zone.to_owned(), revision);
+        let drained = DrainedZone {
+            zone: zone.to_owned(),
+            revision,
+        };
+        let change = Change::Zone(ZoneEvent::Drained(drained));
+        self.history.push_back((now, revision, change));
+    }
+
+    /// Takes a drained zone back.
+    pub fn restore_zone(&mut self, now: Timestamp, zone: &str) {
+        if self.drained_zones.remove(zone).is_some() {
+            let revision = self.advance();
+            let change = Change::Zone(ZoneEvent::Restored(zone.to_owned()));
+            self.history.push_back((now, revision, change));
+        }
+    }
+
     /// Forgets all history.
     pub fn compact(&mut self) {
         self.forgotten = self.revision;
@@ -172,6 +201,18 @@
                 next_after: None,
                 at,
             }),
+            ObjectKind::Zones => {
+                let drained = self.drained_zones.iter();
+                let drained = drained.map(|(zone, revision)| DrainedZone {
+                    zone: zone.clone(),
+                    revision: *revision,
+                });
+                StoreAnswer::Zones(Answer::Page {
+                    items: drained.collect(),
+                    next_after: None,
+                    at,
+                })
+            }
             ObjectKind::Instances => {
                 let after = after.and_then(|name| u64::from_str_radix(name, 16).ok());
                 let rest = self
@@ -211,7 +252,7 @@
                 let events: Vec<InstanceEvent> = news()
                     .filter_map(|(_, _, change)| match change {
                         Change::Instance(event) => Some(event.clone()),
-                        Change::Configuration(_) => None,
+                        Change::Configuration(_) | Change::Zone(_) => None,
                     })
                     .collect();
                 let due = expired || !events.is_empty();
@@ -221,12 +262,22 @@
                 let events: Vec<Configuration> = news()
                     .filter_map(|(_, _, change)| match change {
                         Change::Configuration(configuration) => Some(configuration.clone()),
-                        Change::Instance(_) => None,
+                        Change::Instance(_) | Change::Zone(_) => None,
                     })
                     .collect();
                 let due = expired || !events.is_empty();
                 due.then_some(StoreAnswer::Configurations(Answer::Changes { events, at }))
             }
+            ObjectKind::Zones => {
+                let events: Vec<ZoneEvent> = news()
+                    .filter_map(|(_, _, change)| match change {
+                        Change::Zone(event) => Some(event.clone()),
+                        Change::Configuration(_) | Change::Instance(_) => None,
+                    })
+                    .collect();
+                let due = expired || !events.is_empty();
+                due.then_some(StoreAnswer::Zones(Answer::Changes { events, at }))
+            }
         }
     }
 }
@@ -241,6 +292,7 @@
     match kind {
         ObjectKind::Instances => StoreAnswer::Instances(Answer::Throttled),
         ObjectKind::Configuration => StoreAnswer::Configurations(Answer::Throttled),
+        ObjectKind::Zones => StoreAnswer::Zones(Answer::Throttled),
     }
 }
 
@@ -248,5 +300,6 @@
     match kind {
         ObjectKind::Instances => StoreAnswer::Instances(Answer::HistoryGone),
         ObjectKind::Configuration => StoreAnswer::Configurations(Answer::HistoryGone),
+        ObjectKind::Zones => StoreAnswer::Zones(Answer::HistoryGone),
     }
 }
--- a/crates/bellyoke-lab/src/cookie/target.rs
+++ b/crates/bellyoke-lab/src/cookie/target.rs
@@ -49,15 +49,15 @@
         }
     }
 
-    /// The record of a ready target with these settings. The store sets its revision.
+    /// The record of a ready target with these settings in a zone. The store sets its revision.
     #[must_use]
-    pub fn record(&self, address: SocketAddrV4) -> InstanceRecord {
+    pub fn record(&self, address: SocketAddrV4, zone: String) -> InstanceRecord {
         InstanceRecord {
             id: self.id,
             revision: Revision(0),
             service: self.service.clone(),
             address,
-            zone: "zone".to_owned(),
+            zone,
             state: InstanceState::Ready,
             cold_remaining_milliseconds: 0,
         }
--- a/crates/bellyoke-lab/src/cookie/world/actions.rs
+++ b/crates/bellyoke-lab/src/cookie/world/actions.rs
@@ -1,7 +1,7 @@
 //! What a scenario makes happen.
 
 use super::{Event, World};
-use crate::cookie::scenario::{Action, configuration, service_address};
+use crate::cookie::scenario::{Action, configuration, service_address, zone_name};
 use crate::cookie::store::StoreMode;
 use bellyoke_core::cookie::instance::InstanceState;
 use std::time::Duration;
@@ -26,6 +26,14 @@
                 let address = address_of.map(|target| self.targets[target].address);
                 self.start_target(service, address);
             }
+            Action::DrainZone(zone) => {
+                self.store.drain_zone(self.now, &zone_name(zone));
+                self.rules.zone_drained(self.now, zone);
+            }
+            Action::RestoreZone(zone) => {
+                self.store.restore_zone(self.now, &zone_name(zone));
+                self.rules.zone_restored(zone);
+            }
             Action::Lapse => self.lapse(),
             Action::Store(mode) => self.set_store_mode(mode),
             Action::Compact => {
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -4,8 +4,8 @@
 use crate::cookie::link::{Link, LinkSettings};
 use crate::cookie::node::{Node, StoreCall};
 use crate::cookie::packet::Packet;
-use crate::cookie::rules::{CONTACT, Origin};
-use crate::cookie::scenario::service_name;
+use crate::cookie::rules::{Arrival, CONTACT, Origin};
+use crate::cookie::scenario::{ZONES, service_name, zone_name};
 use crate::cookie::store::{Store, StoreAnswer, StoreMode};
 use crate::cookie::target::{Target, TargetOutput, TargetSettings};
 use bellyoke_core::cookie::exchange::PeerDatagram;
@@ -307,7 +307,7 @@
         let address = address.unwrap_or(own);
         let id = InstanceId(u64::from(self.random.random::<u32>() | 1));
         let settings = TargetSettings::usual(id, service_name(service));
-        let record = settings.record(address);
+        let record = settings.record(address, zone_name(number % ZONES));
         self.store.put_instance(self.now, record.clone());
         self.targets.push(RunningTarget {
             id,
@@ -361,8 +361,13 @@
             && packet.flags.syn
             && takes
         {
-            self.rules
-                .opening_arrives(now, flow, running.id, running.service, in_touch);
+            let arrival = Arrival {
+                target: running.id,
+                service: running.service,
+                zone: index % ZONES,
+                in_touch,
+            };
+            self.rules.opening_arrives(now, flow, arrival);
         }
         self.target_output(index, output, in_touch);
     }
--- a/crates/bellyoke-node/src/connection/store.rs
+++ b/crates/bellyoke-node/src/connection/store.rs
@@ -3,6 +3,7 @@
 use bellyoke_core::cookie::follower::{Answer, Read};
 use bellyoke_core::cookie::instance::{InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::route::Configuration;
+use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use std::net::SocketAddrV4;
 
 /// Reads one kind of object over a connection of its own.
@@ -29,9 +30,15 @@
     /// Reads the configuration. Each change brings it whole.
     type Configurations: StoreReader<Item = Configuration, Event = Configuration>;
 
+    /// Reads the zones that operators have drained.
+    type Zones: StoreReader<Item = DrainedZone, Event = ZoneEvent>;
+
     /// A reader of instances of the store at `address`.
     fn instances(&self, address: SocketAddrV4) -> Self::Instances;
 
     /// A reader of the configuration of the store at `address`.
     fn configurations(&self, address: SocketAddrV4) -> Self::Configurations;
+
+    /// A reader of drained zones of the store at `address`.
+    fn zones(&self, address: SocketAddrV4) -> Self::Zones;
 }
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -3,7 +3,7 @@
 mod report;
 
 use super::metrics::ControlMetrics;
-use super::settings::Settings;
+use super::settings::{Settings, TimingSettings};
 use super::shared::Shared;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
@@ -18,6 +18,7 @@
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, Versions};
 use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::cookie::route::Configuration;
+use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
 use bellyoke_process::log::{LogLimiter, log_event};
@@ -34,6 +35,16 @@
 /// Lines of one event in one second.
 const LOG_ALLOWANCE: u32 = 20;
 
+/// A node that knows nothing yet.
+fn replica(timing: &TimingSettings) -> Replica {
+    let tombstone_lifetime = timing.tombstone_lifetime();
+    if timing.reads_zones() {
+        Replica::reading_zones(tombstone_lifetime)
+    } else {
+        Replica::new(tombstone_lifetime)
+    }
+}
+
 /// The control thread's state.
 pub struct Control {
     clock: MonotonicClock,
@@ -57,6 +68,7 @@
         let mut random: ChaCha8Rng = rand::make_rng();
         let exchange_settings = ExchangeSettings {
             freshness_bound: settings.timing.freshness_bound(),
+            reads_zones: settings.timing.reads_zones(),
             ..ExchangeSettings::default()
         };
         let exchange = Exchange::new(
@@ -67,10 +79,7 @@
         );
         Self {
             clock: shared.clock,
-            coordinator: Coordinator::new(
-                Replica::new(settings.timing.tombstone_lifetime()),
-                exchange,
-            ),
+            coordinator: Coordinator::new(replica(&settings.timing), exchange),
             lifecycle: Lifecycle::new(settings.timing.leave_grace()),
             random,
             peer_key: PeerKey::default(),
@@ -122,11 +131,8 @@
     ///
     /// Why it doesn't.
     pub fn readiness(&self) -> Result<(), Unready> {
-        let replica = self.coordinator.replica();
-        self.lifecycle.ready(
-            replica.configuration().is_some(),
-            replica.directory().as_of().is_some(),
-        )
+        let known = self.coordinator.replica().versions();
+        self.lifecycle.ready(known)
     }
 
     /// What a peer that asked for it lacks.
@@ -165,6 +171,12 @@
         self.take(outcome, Source::Store)
     }
 
+    /// The store tells of drained zones.
+    pub fn zones(&mut self, update: Update<DrainedZone, ZoneEvent>) -> Vec<ExchangeEffect> {
+        let outcome = self.coordinator.zones(self.clock.now(), update);
+        self.take(outcome, Source::Store)
+    }
+
     /// How this node goes on reading objects of a kind.
     #[must_use]
     pub fn watch_plan(&self, kind: ObjectKind) -> WatchPlan {
@@ -217,8 +229,8 @@
         log_event(
             EventCode::SnapshotFetched,
             format_args!(
-                "peer={from} configuration_changed={} instances_changed={}",
-                outcome.change.configuration, outcome.change.directory
+                "peer={from} configuration_changed={} instances_changed={} zones_changed={}",
+                outcome.change.configuration, outcome.change.directory, outcome.change.zones
             ),
         );
         self.take(outcome, Source::Peer)
@@ -305,6 +317,9 @@
         if outcome.change.directory {
             self.log_instances(source);
         }
+        if outcome.change.zones {
+            self.log_zones(source);
+        }
         if outcome.change.any() {
             self.publish();
         }
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -75,6 +75,26 @@
         );
     }
 
+    pub(super) fn log_zones(&mut self, source: Source) {
+        let now = self.clock.now();
+        let zones = self.coordinator.replica().zones();
+        let drained = zones.drained();
+        let drained: Vec<String> = drained
+            .map(|(zone, revision)| format!("{zone}@{revision}"))
+            .collect();
+        let age = self.coordinator.exchange().confirmation_age(now);
+        let line = format!(
+            "drained=[{}] revision={} as_of={} confirmed_milliseconds_ago={} source={}",
+            drained.join(","),
+            zones.changed_at(),
+            zones.as_of().unwrap_or_default(),
+            age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string()),
+            source.name()
+        );
+        self.limiter
+            .log(EventCode::ZonesChanged, now, format_args!("{line}"));
+    }
+
     pub(super) fn show_state(&self, now: Timestamp) {
         let set = |gauge: &prometheus_client::metrics::gauge::Gauge, value: u128| {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
@@ -88,6 +108,8 @@
         set(&metrics.peers, heard.count() as u128);
         let instances = self.coordinator.replica().directory().instances();
         set(&metrics.instances, instances.count() as u128);
+        let drained = self.coordinator.replica().zones().drained();
+        set(&metrics.drained_zones, drained.count() as u128);
         let configuration = self.coordinator.replica().configuration();
         let version = configuration.map_or(0, |held| held.version);
         set(&metrics.configuration_version, u128::from(version));
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -46,6 +46,8 @@
     pub peers: Gauge,
     /// Instances known, gone ones included.
     pub instances: Gauge,
+    /// Zones that are drained.
+    pub drained_zones: Gauge,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
     /// Milliseconds since the state was last known to be the newest; -1 if it never was.
@@ -68,6 +70,7 @@
             stalls: Counter::default(),
             peers: Gauge::default(),
             instances: Gauge::default(),
+            drained_zones: Gauge::default(),
             configuration_version: Gauge::default(),
             confirmation_age_milliseconds: Gauge::default(),
         };
@@ -124,6 +127,11 @@
                 "Instances known, gone ones included",
                 &metrics.instances,
             ),
+            (
+                "drained_zones",
+                "Zones whose instances take no new flows",
+                &metrics.drained_zones,
+            ),
             (
                 "configuration_version",
                 "Version of the configuration in force",
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -257,6 +257,15 @@
         follower,
         Control::instances,
     ));
+    if settings.timing.reads_zones() {
+        spawn_local(follow(
+            link.clone(),
+            ObjectKind::Zones,
+            store.zones(address),
+            follower,
+            Control::zones,
+        ));
+    }
 }
 
 struct Signals {
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -38,6 +38,8 @@
         "How soon a change of the configuration must be in force. A node that heard no confirmation of what it knows for half of it asks the store itself."),
     key("timing", "drained_within_ms", "ms", integer(100, 3_600_000), Literal("3000"),
         "How soon a backend that drains must get no new flow; counts like `in_force_within_ms`."),
+    key("timing", "zone_drained_within_ms", "ms", integer(100, 3_600_000), Absent,
+        "How soon the instances of a zone that operators drain must get no new flow; counts like `in_force_within_ms`. Without it nodes don't ask which zones are drained."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -114,6 +116,9 @@
     pub in_force_within_ms: u64,
     /// How soon a backend that drains must get no new flow, milliseconds.
     pub drained_within_ms: u64,
+    /// How soon the instances of a drained zone must get no new flow, milliseconds; none where
+    /// zones are not drained.
+    pub zone_drained_within_ms: Option<u64>,
 }
 
 impl TimingSettings {
@@ -135,9 +140,16 @@
     #[must_use]
     pub fn freshness_bound(&self) -> Duration {
         let soonest = self.in_force_within_ms.min(self.drained_within_ms);
+        let soonest = soonest.min(self.zone_drained_within_ms.unwrap_or(u64::MAX));
         Duration::from_millis(soonest / 2)
     }
 
+    /// Whether nodes read which zones are drained.
+    #[must_use]
+    pub const fn reads_zones(&self) -> bool {
+        self.zone_drained_within_ms.is_some()
+    }
+
     /// How long the store holds a watch open.
     #[must_use]
     pub const fn watch_wait(&self) -> Duration {
