End open flows of an instance whose address has passed to a later one

Cause: after targets die, each client sends its next request on the old flow and waits out its deadline; the tail lasts ten seconds. An instance is dead for certain once a later one was seen at its address (first sight by half a second, so that a late write of the old record changes nothing); its flows get a reset, and no opening goes there.

Ruled out: revisions of records as the order (a late write would reverse it).

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -110,6 +110,7 @@
     FlowRefused = 802, Info, "A new flow was answered with a reset, since no instance can take it; nothing of it has run.";
     PacketDropped = 803, Info, "A packet was dropped; the reason says why.";
     PacketSendFailed = 804, Warn, "A packet could not be sent.";
+    FlowEnded = 806, Info, "An open flow was ended with a reset, since its instance has ended; what was sent on it may have run.";
     InstanceSuspected = 811, Warn, "Openings sent to an instance came to nothing; others are preferred.";
     InstanceRecovered = 812, Info, "A flow opened at an instance that was suspected.";
     InstancesChanged = 813, Info, "Instances came, went or changed.";
@@ -118,8 +119,8 @@
     StallDetected = 816, Warn, "The process stood still; openings that waited in its socket are dropped.";
     RoleChanged = 817, Info, "This node reads the store for all (Reader), backs up the one that does (Backup), or rests while these tell it enough (Listener).";
     LinkPaced = 818, Warn, "Data that this node sent was lost; bulk data is paced at the rate that its link seems to carry.";
-    ZonesChanged = 820, Info, "Operators have drained zones, or restored them; the line tells which are drained.";
     LinkFree = 819, Info, "Nothing was lost for long; bulk data is sent at once again.";
+    ZonesChanged = 820, Info, "Operators have drained zones, or restored them; the line tells which are drained.";
     PeerJoined = 821, Info, "A peer was heard that was not known to be alive.";
     PeerLost = 822, Info, "A peer was silent for too long, or has left.";
     SnapshotFetched = 823, Info, "A peer's snapshot was read; what was newer in it is in force.";
--- a/crates/bellyoke-core/examples/embed_cookie.rs
+++ b/crates/bellyoke-core/examples/embed_cookie.rs
@@ -77,6 +77,7 @@
     match decision {
         Decision::Place { destination, .. } | Decision::Follow { destination, .. } => destination,
         Decision::Refuse(reason) => panic!("refused: {reason:?}"),
+        Decision::Reset(reason) => panic!("ended: {reason:?}"),
         Decision::Drop(reason) => panic!("dropped: {reason:?}"),
     }
 }
--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -9,12 +9,17 @@
 use crate::cookie::revision::Revision;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// Most tombstones held; the oldest go first. 64 times the instances of the users' largest
 /// service.
 pub const MAXIMUM_TOMBSTONES: usize = 65_536;
 
+/// An address that another instance has taken over at least so long after this node heard of the
+/// first one has passed on. Records that came together, as in a first list, tell no order.
+const TAKEOVER_MARGIN: Duration = Duration::from_millis(500);
+
 /// An instance, present or gone, and what the node has noted about it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownInstance {
@@ -82,6 +87,25 @@
         self.known.values()
     }
 
+    /// Instances that have ended for certain: another one was seen later at their address, and two
+    /// that run never share one. A late write of a record changes nothing, since it is the first
+    /// sight of an instance that counts.
+    #[must_use]
+    pub fn superseded(&self) -> BTreeSet<InstanceId> {
+        let mut latest: BTreeMap<SocketAddrV4, Timestamp> = BTreeMap::new();
+        for known in self.known.values() {
+            let seen = latest
+                .entry(known.record.address)
+                .or_insert(known.first_seen);
+            *seen = known.first_seen.max(*seen);
+        }
+        let ended = self.known.values().filter(|known| {
+            let latest = latest.get(&known.record.address);
+            latest.is_some_and(|latest| latest.since(known.first_seen) >= TAKEOVER_MARGIN)
+        });
+        ended.map(|known| known.record.id).collect()
+    }
+
     /// Takes over a whole list that was true at revision `at`, from the store or a peer.
     /// Returns whether anything changed; a list older than what is known changes nothing.
     pub fn replace(&mut self, now: Timestamp, at: Revision, records: Vec<InstanceRecord>) -> bool {
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -33,6 +33,8 @@
     },
     /// Answer with a reset.
     Refuse(RefusalReason),
+    /// End an open flow, whose instance has ended, with a reset. What was sent on it may have run.
+    Reset(ResetReason),
     /// Do nothing.
     Drop(DropReason),
 }
@@ -46,6 +48,13 @@
     NoInstance,
 }
 
+/// Why an open flow is ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ResetReason {
+    /// Another instance has taken over the address of the flow's.
+    Superseded,
+}
+
 /// Why a packet is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DropReason {
@@ -171,6 +180,9 @@
             return Decision::Drop(DropReason::UnknownCookie);
         };
         let destination = *destination;
+        if packet.role == PacketRole::Later && table.is_superseded(cookie) {
+            return Decision::Reset(ResetReason::Superseded);
+        }
         self.loads.count(now, cookie, PACKET_WEIGHT);
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
         Decision::Follow {
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -58,6 +58,8 @@
     candidates: Vec<Vec<Candidate>>,
     /// Sorted by cookie.
     destinations: Vec<(Cookie, Destination)>,
+    /// Cookies of instances whose address another one has taken over, ascending.
+    superseded: Vec<Cookie>,
     configuration_version: u64,
     /// Whether lists of instances and of drained zones are known, be they empty.
     has_lists: bool,
@@ -74,6 +76,12 @@
         zones: &ZoneDrains,
     ) -> Self {
         let destinations = destinations(directory);
+        let ended = directory.superseded();
+        let superseded = destinations
+            .iter()
+            .filter(|(_, destination)| ended.contains(&destination.instance))
+            .map(|(cookie, _)| *cookie)
+            .collect();
         let mut services = ServiceIndexes::default();
         let limits = configuration.map_or(&[][..], |held| &held.limits[..]);
         services.limits = limits
@@ -86,8 +94,9 @@
         routes.dedup_by_key(|(address, _)| *address);
         Self {
             routes,
-            candidates: services.candidates(directory, zones, &destinations),
+            candidates: services.candidates(directory, zones, &destinations, &ended),
             destinations,
+            superseded,
             configuration_version: configuration.map_or(0, |held| held.version),
             has_lists: directory.as_of().is_some() && zones.as_of().is_some(),
             configuration_revision: configuration
@@ -120,6 +129,13 @@
         found.ok().map(|index| &self.destinations[index].1)
     }
 
+    /// Whether another instance has taken over the address of the one with this cookie, so that it
+    /// has ended.
+    #[must_use]
+    pub fn is_superseded(&self, cookie: Cookie) -> bool {
+        self.superseded.binary_search(&cookie).is_ok()
+    }
+
     /// Cookies of all instances remembered, ascending.
     pub fn cookies(&self) -> impl Iterator<Item = Cookie> {
         self.destinations.iter().map(|(cookie, _)| *cookie)
@@ -214,6 +230,7 @@
         directory: &Directory,
         zones: &ZoneDrains,
         destinations: &[(Cookie, Destination)],
+        ended: &BTreeSet<InstanceId>,
     ) -> Vec<Vec<Candidate>> {
         let mut candidates = vec![Vec::new(); self.indexes.len()];
         let holders: BTreeSet<InstanceId> = destinations
@@ -226,7 +243,8 @@
                 continue;
             };
             let is_drained = record.state != InstanceState::Ready || zones.is_drained(&record.zone);
-            if is_drained || !holders.contains(&record.id) {
+            let takes_flows = holders.contains(&record.id) && !ended.contains(&record.id);
+            if is_drained || !takes_flows {
                 continue;
             }
             let limits = self.limits.get(&record.service[..]).copied();
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -1,6 +1,7 @@
 //! Forwarding by connection cookie: each invariant of [`bellyoke_core::cookie`].
 
 mod directory;
+mod ended_instances;
 mod exchange;
 mod follower;
 mod forwarder;
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -221,7 +221,8 @@
                 }
                 Forwarded::To(destination, forwarded)
             }
-            Decision::Refuse(_) => Forwarded::Reset(packet.reset()),
+            Decision::Reset(_) if self.lacks(Ablation::NoResets) => Forwarded::Dropped,
+            Decision::Refuse(_) | Decision::Reset(_) => Forwarded::Reset(packet.reset()),
             Decision::Drop(DropReason::UnknownCookie) if self.lacks(Ablation::ResetUnknown) => {
                 Forwarded::Reset(packet.reset())
             }
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -41,6 +41,8 @@
     NoStaleLists,
     /// A node that was told once that its state is the newest never asks again.
     RestForever,
+    /// Open flows of dead targets are left to their clients.
+    NoResets,
     /// The instances of drained zones take new flows.
     IgnoreDrainedZones,
 }
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -431,6 +431,32 @@
     }
 }
 
+/// Flows at a target that died are ended once another one is seen at its address: clients turn
+/// elsewhere instead of waiting for an answer that can't come.
+#[test]
+fn open_flows_of_a_target_whose_address_passed_on_are_ended() {
+    let mut scenario = Scenario {
+        long_clients: 60,
+        ..calm()
+    };
+    for (at, target) in [(6_000, 0), (9_000, 1), (12_000, 2)] {
+        let start = Action::Start {
+            service: 0,
+            address_of: Some(target),
+        };
+        scenario = scenario.at(at, Action::Crash { target });
+        scenario = scenario.at(at + 1_200, start);
+    }
+    let left_alone = scenario.clone().without(Ablation::NoResets);
+    holds(&scenario, 0.95);
+    for seed in SEEDS {
+        let (with, without) = (play(scenario.clone(), seed), play(left_alone.clone(), seed));
+        assert!(with.resets_by_nodes > 0, "seed {seed}");
+        assert_eq!(without.resets_by_nodes, 0, "seed {seed}");
+        assert!(with.failed < without.failed, "seed {seed}");
+    }
+}
+
 /// A dead target is idle: that must not draw flows to it.
 #[test]
 fn loads_draw_no_flows_to_a_crashed_target() {
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -1,7 +1,7 @@
 //! Counts of what was done with packets.
 
 use super::sender::SendOutcome;
-use bellyoke_core::cookie::forwarder::{Decision, DropReason, RefusalReason};
+use bellyoke_core::cookie::forwarder::{Decision, DropReason, RefusalReason, ResetReason};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -23,6 +23,8 @@
     RefusedNoRoute,
     /// Answered with a reset: no instance.
     RefusedNoInstance,
+    /// The open flow was ended with a reset: its instance's address has passed to another one.
+    ResetSuperseded,
     /// Dropped: it waited while the process stood still.
     DroppedBacklog,
     /// Dropped: its cookie is not known.
@@ -42,12 +44,13 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 13] = [
+    const ALL: [Self; 14] = [
         Self::Placed,
         Self::Followed,
         Self::Held,
         Self::RefusedNoRoute,
         Self::RefusedNoInstance,
+        Self::ResetSuperseded,
         Self::DroppedBacklog,
         Self::DroppedUnknownCookie,
         Self::DroppedDuplicate,
@@ -67,6 +70,7 @@
             Self::Held => "held",
             Self::RefusedNoRoute => "refused_no_route",
             Self::RefusedNoInstance => "refused_no_instance",
+            Self::ResetSuperseded => "reset_superseded",
             Self::DroppedBacklog => "dropped_backlog",
             Self::DroppedUnknownCookie => "dropped_unknown_cookie",
             Self::DroppedDuplicate => "dropped_duplicate",
@@ -86,6 +90,7 @@
             Decision::Follow { .. } => Self::Followed,
             Decision::Refuse(RefusalReason::NoRoute) => Self::RefusedNoRoute,
             Decision::Refuse(RefusalReason::NoInstance) => Self::RefusedNoInstance,
+            Decision::Reset(ResetReason::Superseded) => Self::ResetSuperseded,
             Decision::Drop(DropReason::Backlog) => Self::DroppedBacklog,
             Decision::Drop(DropReason::UnknownCookie) => Self::DroppedUnknownCookie,
             Decision::Drop(DropReason::NoCookie) => Self::DroppedNoCookie,
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -176,7 +176,7 @@
                     .map_or(outcome, |sent| PacketOutcome::of_flow(*sent));
                 sent
             }
-            Decision::Refuse(_) => self.send_reset(datagram, packet),
+            Decision::Refuse(_) | Decision::Reset(_) => self.send_reset(datagram, packet),
             Decision::Drop(_) => Ok(SendOutcome::Sent),
         };
         self.shared.packets.count(outcome);
@@ -184,6 +184,9 @@
             Decision::Refuse(_) => {
                 self.log_flow(EventCode::FlowRefused, now, &table, packet, outcome);
             }
+            Decision::Reset(_) => {
+                self.log_flow(EventCode::FlowEnded, now, &table, packet, outcome);
+            }
             Decision::Drop(_) => {
                 self.log_flow(EventCode::PacketDropped, now, &table, packet, outcome);
             }
