--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -111,6 +111,8 @@
     PacketDropped = 803, Info, "A packet was dropped; the reason says why.";
     PacketSendFailed = 804, Warn, "A packet could not be sent.";
     FlowEnded = 806, Info, "An open flow was ended with a reset, since its instance has ended; what was sent on it may have run.";
+    InstanceUnreachable = 807, Warn, "Connections to an instance don't open though those to others do; flows that wait there are ended, and others are preferred.";
+    InstanceReached = 808, Info, "An instance that was unreachable takes connections again, or is in question no more.";
     InstanceSuspected = 811, Warn, "Openings sent to an instance came to nothing; others are preferred.";
     InstanceRecovered = 812, Info, "A flow opened at an instance that was suspected.";
     InstancesChanged = 813, Info, "Instances came, went or changed.";
--- a/crates/bellyoke-core/benches/cookie.rs
+++ b/crates/bellyoke-core/benches/cookie.rs
@@ -105,6 +105,7 @@
         role: PacketRole::Opening { attempt: 0 },
         cookie: None,
         data_sequence: None,
+        acknowledged: 0,
     }
 }
 
@@ -115,6 +116,7 @@
         role: PacketRole::Later,
         cookie: Some(Cookie::of(instance_id(instance))),
         data_sequence: None,
+        acknowledged: 0,
     }
 }
 
--- a/crates/bellyoke-core/examples/embed_cookie.rs
+++ b/crates/bellyoke-core/examples/embed_cookie.rs
@@ -57,6 +57,7 @@
         role: PacketRole::Opening { attempt: 0 },
         cookie: None,
         data_sequence: None,
+        acknowledged: 0,
     };
     let placed = destination(forwarder.decide(now, &replica.table(), &packet, false));
     println!(
--- a/crates/bellyoke-core/src/cookie/exchange/effect.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/effect.rs
@@ -1,6 +1,6 @@
 //! What the exchange wants its host to do.
 
-use super::message::Heartbeat;
+use super::message::{Heartbeat, Question};
 use crate::cookie::replica::Versions;
 use std::net::SocketAddrV4;
 
@@ -23,6 +23,13 @@
         /// What else to send.
         heartbeat: Heartbeat,
     },
+    /// Ask a peer whether it reaches some instances.
+    SendQuestion {
+        /// To whom.
+        to: SocketAddrV4,
+        /// Which instances.
+        question: Question,
+    },
     /// Fetch a snapshot.
     Fetch {
         /// From whom.
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -28,6 +28,9 @@
 /// Kind byte of a request for a snapshot.
 const FETCH_KIND: u8 = 4;
 
+/// Kind byte of a question about instances.
+const QUESTION_KIND: u8 = 5;
+
 const TAG_LENGTH: usize = blake3::OUT_LEN;
 const HEADER_LENGTH: usize = 2 + TAG_LENGTH;
 
@@ -69,6 +72,13 @@
     pub delta: StateDelta,
 }
 
+/// Instances that the sender, or one that it heard, can't reach: does the receiver reach them?
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Question {
+    /// Their cookies.
+    pub cookies: Vec<u32>,
+}
+
 /// A request for what the sender lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct FetchRequest {
@@ -83,6 +93,8 @@
     Heartbeat(Heartbeat),
     /// News.
     Delta(DeltaMessage),
+    /// Instances in question.
+    Question(Question),
 }
 
 impl PeerDatagram {
@@ -92,10 +104,11 @@
     ///
     /// [`DecodeError`] if it holds none.
     pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
-        if bytes.get(1) == Some(&DELTA_KIND) {
-            return DeltaMessage::decode(bytes, key).map(Self::Delta);
+        match bytes.get(1) {
+            Some(&DELTA_KIND) => DeltaMessage::decode(bytes, key).map(Self::Delta),
+            Some(&QUESTION_KIND) => Question::decode(bytes, key).map(Self::Question),
+            _ => Heartbeat::decode(bytes, key).map(Self::Heartbeat),
         }
-        Heartbeat::decode(bytes, key).map(Self::Heartbeat)
     }
 }
 
@@ -269,6 +282,29 @@
     }
 }
 
+impl Question {
+    /// Most instances that a question names.
+    pub const MAXIMUM_COOKIES: usize = 256;
+
+    /// The bytes of this question.
+    ///
+    /// # Errors
+    ///
+    /// [`EncodeError`] if it is too long for a datagram.
+    pub fn encode(&self, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
+        encode(self, key, QUESTION_KIND, MAXIMUM_DATAGRAM_LENGTH)
+    }
+
+    /// The question that `bytes` encode.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if they encode none.
+    pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
+        decode(bytes, key, QUESTION_KIND, MAXIMUM_DATAGRAM_LENGTH)
+    }
+}
+
 impl FetchRequest {
     /// The bytes of this request.
     ///
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -29,7 +29,7 @@
 pub use message::{
     DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
     MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey,
-    decode_snapshot, encode_snapshot,
+    Question, decode_snapshot, encode_snapshot,
 };
 pub use peers::PeerRecord;
 pub use settings::ExchangeSettings;
@@ -249,6 +249,28 @@
         self.failing = failing;
     }
 
+    /// Passes on that some instances are in question, so that all nodes find out at once.
+    pub fn ask_peers(&mut self, cookies: &[Cookie]) -> Vec<ExchangeEffect> {
+        let mut effects = Vec::new();
+        for cookies in cookies.chunks(Question::MAXIMUM_COOKIES) {
+            let question = Question {
+                cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
+            };
+            let receivers = self
+                .peers
+                .sample(self.settings.push_fanout, &mut self.random);
+            effects.extend(
+                receivers
+                    .into_iter()
+                    .map(|to| ExchangeEffect::SendQuestion {
+                        to,
+                        question: question.clone(),
+                    }),
+            );
+        }
+        effects
+    }
+
     /// Instances that peers suspect. Several must agree before one counts: one alone may be
     /// cut off from it itself.
     #[must_use]
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -4,7 +4,8 @@
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
 use crate::cookie::packet::{Destination, FlowPacket, PacketRole};
-use crate::cookie::placement::{Suitability, choose_instance, choose_part};
+use crate::cookie::placement::{Suitability, choose_instance, choose_part, mix};
+use crate::cookie::seen::{AcknowledgementTable, SeenTable, data_key};
 use crate::cookie::table::{Candidate, ForwardingTable};
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
@@ -14,6 +15,30 @@
 /// the time within which a leaving instance must get no new flow.
 pub const RECENTLY_GONE: Duration = Duration::from_millis(1_500);
 
+/// Data that comes again sooner is a copy of the network's: clients wait 200 ms for an
+/// acknowledgement.
+const SHORTEST_REPEAT: Duration = Duration::from_millis(150);
+
+/// Data packets whose first sight is remembered, 16 bytes each: those of some seconds on a machine
+/// that forwards a few hundred a second. What is forgotten sooner leaves its flow to the client.
+const FIRST_SENT_PLACES: usize = 1_024;
+
+/// Flows whose last acknowledgement is remembered, 16 bytes each.
+const FLOW_PLACES: usize = 1_024;
+
+/// Instances whose last sign of life is remembered, 16 bytes each.
+const INSTANCE_PLACES: usize = 1_024;
+
+/// An instance that showed life so lately isn't dead, whatever probes say. Longer than a flow is silent
+/// whose data was lost twice (200 and 400 ms); a verdict takes about as long after a death.
+const LIFE_LIFETIME: Duration = Duration::from_millis(1_000);
+
+/// How long the end of an opening speaks for an instance.
+const SOUND_LIFETIME: Duration = Duration::from_millis(500);
+
+/// Most sound instances that are told: a few are enough for controls.
+const MAXIMUM_SOUND: usize = 8;
+
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -53,6 +78,8 @@
 pub enum ResetReason {
     /// Another instance has taken over the address of the flow's.
     Superseded,
+    /// The flow's instance can't be reached, and its client repeats what it sent.
+    Unreachable,
 }
 
 /// Why a packet is dropped.
@@ -74,6 +101,15 @@
 pub struct Forwarder {
     monitor: OpeningMonitor,
     loads: LoadMeter,
+    unreachable: BTreeSet<Cookie>,
+    /// When data of flows was first sent.
+    first_sent: SeenTable,
+    acknowledged: AcknowledgementTable,
+    /// When an instance last showed that it lives.
+    alive_at: SeenTable,
+    /// Instances that showed life while probes said that they can't be reached: they only take no
+    /// connections, so that probes tell nothing of them.
+    deaf: BTreeSet<Cookie>,
 }
 
 impl Forwarder {
@@ -83,6 +119,11 @@
         Self {
             monitor: OpeningMonitor::new(settings),
             loads: LoadMeter::default(),
+            unreachable: BTreeSet::new(),
+            first_sent: SeenTable::new(FIRST_SENT_PLACES),
+            acknowledged: AcknowledgementTable::new(FLOW_PLACES),
+            alive_at: SeenTable::new(INSTANCE_PLACES),
+            deaf: BTreeSet::new(),
         }
     }
 
@@ -106,8 +147,9 @@
     /// instances.
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
-        self.monitor
-            .retain(|cookie| table.destination(cookie).is_some());
+        let is_known = |cookie| table.destination(cookie).is_some();
+        self.monitor.retain(is_known);
+        self.deaf.retain(|cookie| is_known(*cookie));
         self.monitor.take_changes()
     }
 
@@ -121,6 +163,26 @@
         self.monitor.set_peer_suspicions(suspected);
     }
 
+    /// Instances at which an opening failed since the last call: they are in question.
+    pub fn take_failed(&mut self) -> Vec<Cookie> {
+        self.monitor.take_failed()
+    }
+
+    /// Instances at which openings completed a moment ago: controls for probes of others.
+    #[must_use]
+    pub fn sound_instances(&self, now: Timestamp) -> Vec<Cookie> {
+        let mut sound = self.monitor.succeeded_within(now, SOUND_LIFETIME);
+        sound.truncate(MAXIMUM_SOUND);
+        sound
+    }
+
+    /// Instances that this node can't reach.
+    pub fn set_unreachable(&mut self, unreachable: &BTreeSet<Cookie>) {
+        if self.unreachable != *unreachable {
+            self.unreachable.clone_from(unreachable);
+        }
+    }
+
     /// The process stood still: openings under way prove nothing.
     pub fn stalled(&mut self) {
         self.monitor.forget_pending();
@@ -144,12 +206,13 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let monitor = &self.monitor;
+        let is_unreachable = |cookie| self.is_unreachable(cookie);
         let loads = &self.loads;
         let chosen = choose_instance(
             table.candidates(part),
             flow_hash,
             attempt,
-            |candidate| suitability(now, monitor, candidate),
+            |candidate| suitability(now, monitor, is_unreachable, candidate),
             |candidate| {
                 // A dead instance is idle too, but not therefore to be preferred.
                 if monitor.is_doubted(candidate.cookie) {
@@ -162,7 +225,8 @@
         let Some(chosen) = chosen else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
-        let suitability = suitability(now, monitor, chosen).unwrap_or(Suitability::RecentlyGone);
+        let suitability = suitability(now, monitor, is_unreachable, chosen);
+        let suitability = suitability.unwrap_or(Suitability::RecentlyGone);
         let destination = chosen.destination();
         self.monitor.opening(now, flow_hash, destination.cookie);
         self.loads.count(now, destination.cookie, OPENING_WEIGHT);
@@ -172,6 +236,46 @@
         }
     }
 
+    /// Whether a packet repeats data to an instance that can't be reached and shows no life. That the
+    /// client has to repeat it is the flow's own word that it doesn't go on: an instance that only
+    /// takes no new connections still answers on its flows.
+    fn is_unanswered(&mut self, now: Timestamp, packet: &FlowPacket, cookie: Cookie) -> bool {
+        let Some(sequence) = packet.data_sequence else {
+            return false;
+        };
+        let key = data_key(packet.flow.hash(), sequence);
+        let Some(first_sent) = self.first_sent.seen_at(key) else {
+            self.first_sent.note(now, key);
+            return false;
+        };
+        let is_repeat = now.since(first_sent) >= SHORTEST_REPEAT;
+        is_repeat && self.is_unreachable(cookie) && !self.is_alive(now, cookie)
+    }
+
+    fn is_unreachable(&self, cookie: Cookie) -> bool {
+        self.unreachable.contains(&cookie) && !self.deaf.contains(&cookie)
+    }
+
+    /// Notes that a flow goes on, if this packet shows it.
+    fn note_life(&mut self, now: Timestamp, packet: &FlowPacket, cookie: Cookie) {
+        let flow_hash = packet.flow.hash();
+        if self.acknowledged.advances(flow_hash, packet.acknowledged) {
+            self.lives(now, cookie);
+        }
+    }
+
+    fn lives(&mut self, now: Timestamp, cookie: Cookie) {
+        self.alive_at.note(now, life_key(cookie));
+        if self.unreachable.contains(&cookie) {
+            self.deaf.insert(cookie);
+        }
+    }
+
+    fn is_alive(&self, now: Timestamp, cookie: Cookie) -> bool {
+        let alive_at = self.alive_at.seen_at(life_key(cookie));
+        alive_at.is_some_and(|at| now.since(at) < LIFE_LIFETIME)
+    }
+
     fn follow(&mut self, now: Timestamp, table: &ForwardingTable, packet: &FlowPacket) -> Decision {
         let Some(cookie) = packet.cookie else {
             return Decision::Drop(DropReason::NoCookie);
@@ -183,8 +287,15 @@
         if packet.role == PacketRole::Later && table.is_superseded(cookie) {
             return Decision::Reset(ResetReason::Superseded);
         }
+        self.note_life(now, packet, cookie);
+        if packet.role == PacketRole::Later && self.is_unanswered(now, packet, cookie) {
+            return Decision::Reset(ResetReason::Unreachable);
+        }
         self.loads.count(now, cookie, PACKET_WEIGHT);
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
+        if opened_after.is_some() {
+            self.lives(now, cookie);
+        }
         Decision::Follow {
             destination,
             opened_after,
@@ -192,16 +303,21 @@
     }
 }
 
+fn life_key(cookie: Cookie) -> u64 {
+    mix(u64::from(cookie.bits())) | 1
+}
+
 /// How willing a candidate is to take a flow at `now`; none if it must not get one.
 fn suitability(
     now: Timestamp,
     monitor: &OpeningMonitor,
+    is_unreachable: impl Fn(Cookie) -> bool,
     candidate: &Candidate,
 ) -> Option<Suitability> {
     if let Some(gone_at) = candidate.gone_at {
         return (now.since(gone_at) < RECENTLY_GONE).then_some(Suitability::RecentlyGone);
     }
-    if monitor.is_suspected(now, candidate.cookie) {
+    if is_unreachable(candidate.cookie) || monitor.is_suspected(now, candidate.cookie) {
         return Some(Suitability::Suspected);
     }
     if now < candidate.warm_at {
--- a/crates/bellyoke-core/src/cookie/health.rs
+++ b/crates/bellyoke-core/src/cookie/health.rs
@@ -88,6 +88,8 @@
     /// Instances whose last opening failed.
     failing: BTreeMap<Cookie, InstanceHealth>,
     changes: Vec<HealthChange>,
+    /// Instances whose openings failed since they were last asked for.
+    failed: BTreeSet<Cookie>,
 }
 
 impl OpeningMonitor {
@@ -102,6 +104,7 @@
             succeeded_at: BTreeMap::new(),
             failing: BTreeMap::new(),
             changes: Vec::new(),
+            failed: BTreeSet::new(),
         }
     }
 
@@ -198,6 +201,19 @@
         self.succeeded_at.retain(|cookie, _| is_known(*cookie));
     }
 
+    /// Instances at which an opening completed within the time before `now`.
+    #[must_use]
+    pub fn succeeded_within(&self, now: Timestamp, time: Duration) -> Vec<Cookie> {
+        let succeeded = self.succeeded_at.iter();
+        let lately = succeeded.filter(|(_, at)| now.since(**at) < time);
+        lately.map(|(cookie, _)| *cookie).collect()
+    }
+
+    /// Instances at which an opening failed since the last call, be it the first one.
+    pub fn take_failed(&mut self) -> Vec<Cookie> {
+        std::mem::take(&mut self.failed).into_iter().collect()
+    }
+
     /// What has changed since the last call.
     pub fn take_changes(&mut self) -> Vec<HealthChange> {
         std::mem::take(&mut self.changes)
@@ -211,6 +227,7 @@
     fn failed(&mut self, now: Timestamp, opening: PendingOpening) {
         let health = self.failing.entry(opening.cookie).or_default();
         health.failures = health.failures.saturating_add(1);
+        self.failed.insert(opening.cookie);
         if health.failures < self.settings.failure_threshold {
             return;
         }
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -10,7 +10,7 @@
 //! Like the rest of the crate nothing here has a socket, clock or thread:
 //!
 //! * one packet: [`packet`] and [`forwarder`], with [`placement`] of new flows, [`load`] and [`health`] of
-//!   instances from the progress of openings;
+//!   instances from the progress of openings, [`reachability`] of those in question by probes;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
 //!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
@@ -29,10 +29,12 @@
 pub mod load;
 pub mod packet;
 pub mod placement;
+pub mod reachability;
 pub mod readiness;
 pub mod replica;
 pub mod revision;
 pub mod route;
+mod seen;
 pub mod stall;
 pub mod table;
 pub mod zones;
--- a/crates/bellyoke-core/src/cookie/packet.rs
+++ b/crates/bellyoke-core/src/cookie/packet.rs
@@ -54,6 +54,8 @@
     pub cookie: Option<Cookie>,
     /// Sequence number of its first byte of data; none without data.
     pub data_sequence: Option<u32>,
+    /// What it acknowledges of the instance's data. Means nothing in an opening.
+    pub acknowledged: u32,
 }
 
 /// Why bytes are no packet.
--- a/crates/bellyoke-core/src/cookie/placement.rs
+++ b/crates/bellyoke-core/src/cookie/placement.rs
@@ -22,7 +22,7 @@
 pub enum Suitability {
     /// Its record went moments ago: better than refusing while nothing else is there.
     RecentlyGone,
-    /// Openings sent to it don't complete.
+    /// Openings sent to it don't complete, or it can't be reached.
     Suspected,
     /// It has just started and is slow.
     Cold,
@@ -139,7 +139,7 @@
 }
 
 /// The 64-bit finalizer of `MurmurHash3` (Appleby): every input bit changes every output bit.
-const fn mix(value: u64) -> u64 {
+pub(crate) const fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     let value = (value ^ (value >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     value ^ (value >> 33)
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/seen.rs
@@ -0,0 +1,88 @@
+//! When things were seen, in a bounded table.
+
+use crate::time::Timestamp;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// Zero for none.
+    key: u64,
+    at: Timestamp,
+}
+
+/// When things were seen, by uniform keys other than zero. What takes another one's place costs
+/// only the memory of that one. 16 bytes a place, none until something is noted.
+#[derive(Debug)]
+pub(crate) struct SeenTable {
+    places: Vec<Seen>,
+    /// A power of two.
+    length: usize,
+}
+
+impl SeenTable {
+    pub(crate) const fn new(length: usize) -> Self {
+        Self {
+            places: Vec::new(),
+            length,
+        }
+    }
+
+    pub(crate) fn seen_at(&self, key: u64) -> Option<Timestamp> {
+        let place = self.places.get(self.place_of(key))?;
+        (place.key == key).then_some(place.at)
+    }
+
+    pub(crate) fn note(&mut self, now: Timestamp, key: u64) {
+        if self.places.is_empty() {
+            self.places = vec![Seen::default(); self.length];
+        }
+        let place = self.place_of(key);
+        self.places[place] = Seen { key, at: now };
+    }
+
+    fn place_of(&self, key: u64) -> usize {
+        usize::try_from(key >> 32).unwrap_or_default() & (self.length - 1)
+    }
+}
+
+/// The key of data in a flow. Flow hashes are uniform; the product spreads the sequence numbers of
+/// one flow.
+pub(crate) fn data_key(flow_hash: u64, sequence: u32) -> u64 {
+    const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+    (flow_hash ^ u64::from(sequence).wrapping_mul(SPREAD)) | 1
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Acknowledged {
+    /// Zero for none.
+    flow: u64,
+    number: u32,
+}
+
+/// What the clients of flows acknowledged last, in a bounded table.
+#[derive(Debug)]
+pub(crate) struct AcknowledgementTable {
+    places: Vec<Acknowledged>,
+    /// A power of two.
+    length: usize,
+}
+
+impl AcknowledgementTable {
+    pub(crate) const fn new(length: usize) -> Self {
+        Self {
+            places: Vec::new(),
+            length,
+        }
+    }
+
+    /// Notes what a packet acknowledges. Returns whether its flow acknowledged something else before:
+    /// then the other end has sent something since.
+    pub(crate) fn advances(&mut self, flow_hash: u64, number: u32) -> bool {
+        if self.places.is_empty() {
+            self.places = vec![Acknowledged::default(); self.length];
+        }
+        let flow = flow_hash | 1;
+        let place = usize::try_from(flow >> 32).unwrap_or_default() & (self.length - 1);
+        let held = std::mem::replace(&mut self.places[place], Acknowledged { flow, number });
+        held.flow == flow && held.number != number
+    }
+}
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -159,6 +159,9 @@
                     let heartbeat = PeerDatagram::Heartbeat(heartbeat);
                     self.deliver(from, to, delta.map_or(heartbeat, PeerDatagram::Delta));
                 }
+                ExchangeEffect::SendQuestion { to, question } => {
+                    self.deliver(from, to, PeerDatagram::Question(question));
+                }
                 ExchangeEffect::Fetch { from: source } => self.fetch(from, source),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -9,6 +9,7 @@
 mod link;
 mod message;
 mod placement;
+mod reachability;
 mod replica;
 mod stall;
 mod support;
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/reachability.rs
@@ -0,0 +1,275 @@
+//! What probes establish, and which flows are ended for it.
+
+use crate::support::{TOMBSTONE_LIFETIME, at, configuration, later, node, opening, record};
+use bellyoke_core::cookie::coordinator::Coordinator;
+use bellyoke_core::cookie::exchange::{
+    Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, PeerDatagram, Question,
+};
+use bellyoke_core::cookie::forwarder::{Decision, Forwarder, ResetReason};
+use bellyoke_core::cookie::health::HealthSettings;
+use bellyoke_core::cookie::instance::{Cookie, InstanceId, InstanceRecord};
+use bellyoke_core::cookie::packet::FlowPacket;
+use bellyoke_core::cookie::reachability::{
+    ATTEMPTS, Doubter, ProbeBatch, ProbeOutcome, ReachabilityMonitor, VERDICT_LIFETIME,
+};
+use bellyoke_core::cookie::replica::{Replica, Versions};
+use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::table::ForwardingTable;
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+fn cookie(id: u64) -> Cookie {
+    Cookie::of(InstanceId(id))
+}
+
+fn address(id: u64) -> SocketAddrV4 {
+    record(id, 1).address
+}
+
+/// A probe of instance 1 beside 2 and 3, of which these connections open in each attempt.
+fn probe(opened: [&[u64]; ATTEMPTS]) -> ProbeOutcome {
+    let suspects = vec![(cookie(1), address(1))];
+    let mut batch = ProbeBatch::new(suspects, vec![address(2), address(3)]);
+    for opened in opened {
+        if !batch.is_over() {
+            batch.attempted(&opened.iter().map(|id| address(*id)).collect());
+        }
+    }
+    assert!(batch.is_over());
+    batch.outcomes()[0].1
+}
+
+#[test]
+fn an_instance_is_unreachable_if_only_it_can_not_be_reached() {
+    assert_eq!(probe([&[2, 3]; 3]), ProbeOutcome::Unreachable);
+    assert_eq!(probe([&[2, 3], &[2, 3], &[1, 2, 3]]), ProbeOutcome::Reached);
+    // This node's own link may be at fault if a control fails, be it once.
+    assert_eq!(probe([&[2, 3], &[2], &[2, 3]]), ProbeOutcome::Inconclusive);
+    assert_eq!(probe([&[], &[], &[]]), ProbeOutcome::Inconclusive);
+}
+
+#[test]
+fn without_controls_nothing_is_established() {
+    let batch = ProbeBatch::new(vec![(cookie(1), address(1))], Vec::new());
+    assert!(batch.is_over());
+    assert_eq!(batch.outcomes(), [(cookie(1), ProbeOutcome::Inconclusive)]);
+}
+
+fn established(now: u64) -> ReachabilityMonitor {
+    let mut monitor = ReachabilityMonitor::default();
+    assert!(monitor.question(at(now), cookie(1), Doubter::Node));
+    assert!(
+        !monitor.question(at(now), cookie(1), Doubter::Peer),
+        "asked already"
+    );
+    assert_eq!(monitor.questioned(Doubter::Node), [cookie(1)]);
+    let change = monitor.probed(at(now), cookie(1), ProbeOutcome::Unreachable);
+    assert!(change.unwrap().unreachable);
+    monitor
+}
+
+#[test]
+fn a_verdict_ends_unless_it_is_renewed() {
+    let mut monitor = established(1_000);
+    let ends = 1_000 + u64::try_from(VERDICT_LIFETIME.as_millis()).unwrap();
+    assert!(!monitor.unreachable(at(ends - 1)).is_empty());
+    assert!(monitor.unreachable(at(ends)).is_empty());
+    assert_eq!(monitor.due_again(at(2_900)), []);
+    assert_eq!(monitor.due_again(at(3_000)), [cookie(1)]);
+    monitor.probed(at(3_000), cookie(1), ProbeOutcome::Unreachable);
+    assert!(!monitor.unreachable(at(ends)).is_empty());
+    assert_eq!(monitor.due_again(at(5_000)), [cookie(1)]);
+    let change = monitor.probed(at(5_000), cookie(1), ProbeOutcome::Reached);
+    assert!(!change.unwrap().unreachable);
+}
+
+/// A dead instance is probed a few times, not for as long as it is remembered.
+#[test]
+fn an_instance_whose_record_went_while_it_was_unreachable_has_ended() {
+    let mut monitor = established(1_000);
+    monitor.note_records(at(2_000), |_| Some(true));
+    assert_eq!(monitor.due_again(at(60_000)), []);
+    assert!(!monitor.unreachable(at(60_000)).is_empty());
+    // The record comes back: it lives, as after an outage of the store.
+    monitor.note_records(at(60_001), |_| Some(false));
+    assert!(monitor.unreachable(at(60_001)).is_empty());
+}
+
+#[test]
+fn a_node_that_stood_still_holds_nobody_unreachable() {
+    let mut monitor = established(1_000);
+    monitor.stalled();
+    assert!(monitor.unreachable(at(1_001)).is_empty());
+}
+
+#[test]
+fn a_probe_that_finds_nothing_out_is_made_again_a_few_times() {
+    let mut monitor = ReachabilityMonitor::default();
+    monitor.question(at(1_000), cookie(1), Doubter::Node);
+    let mut probes = 0;
+    while !monitor.questioned(Doubter::Node).is_empty() {
+        monitor.probed(at(1_000), cookie(1), ProbeOutcome::Inconclusive);
+        probes += 1;
+    }
+    assert_eq!(probes, 3);
+    assert!(monitor.unreachable(at(1_000)).is_empty());
+}
+
+/// A forwarder whose flow 1 is open at instance 1, which can't be reached.
+fn forwarder(table: &ForwardingTable) -> Forwarder {
+    let mut forwarder = Forwarder::new(HealthSettings::default());
+    forwarder.decide(at(1_000), table, &data(1, 100, 7), false);
+    forwarder.set_unreachable(&BTreeSet::from([cookie(1)]));
+    forwarder
+}
+
+fn data(flow: u32, sequence: u32, acknowledged: u32) -> FlowPacket {
+    FlowPacket {
+        data_sequence: Some(sequence),
+        acknowledged,
+        ..later(flow, cookie(1))
+    }
+}
+
+fn is_reset(decision: Decision) -> bool {
+    decision == Decision::Reset(ResetReason::Unreachable)
+}
+
+#[test]
+fn a_flow_whose_client_repeats_itself_to_an_unreachable_instance_is_ended() {
+    let table = node(vec![record(1, 1), record(2, 2)]).table();
+    let mut forwarder = forwarder(&table);
+    let mut decide = |now, packet| forwarder.decide(at(now), &table, &packet, false);
+    assert!(!is_reset(decide(5_000, data(1, 200, 7))), "sent once");
+    assert!(
+        !is_reset(decide(5_020, data(1, 200, 7))),
+        "the network's copy"
+    );
+    assert!(is_reset(decide(5_200, data(1, 200, 7))));
+    assert!(
+        is_reset(decide(5_600, data(1, 200, 7))),
+        "the reset was lost"
+    );
+    assert!(!is_reset(decide(5_700, later(1, cookie(1)))), "no data");
+}
+
+#[test]
+fn a_repeat_is_known_from_before_the_verdict() {
+    let table = node(vec![record(1, 1), record(2, 2)]).table();
+    let mut forwarder = forwarder(&table);
+    assert!(is_reset(forwarder.decide(
+        at(1_600),
+        &table,
+        &data(1, 100, 7),
+        false
+    )));
+}
+
+#[test]
+fn no_flow_of_an_instance_that_showed_life_is_ended() {
+    let table = node(vec![record(1, 1), record(2, 2)]).table();
+    let mut forwarder = forwarder(&table);
+    forwarder.decide(at(4_000), &table, &data(2, 300, 50), false);
+    // The client of another flow acknowledges something new: the instance has answered.
+    forwarder.decide(at(4_900), &table, &data(2, 350, 90), false);
+    forwarder.decide(at(5_000), &table, &data(1, 200, 7), false);
+    for now in [5_200, 5_600, 9_000] {
+        let decision = forwarder.decide(at(now), &table, &data(1, 200, 7), false);
+        assert!(!is_reset(decision), "at {now}");
+    }
+}
+
+#[test]
+fn openings_avoid_an_unreachable_instance() {
+    let table = node(vec![record(1, 1), record(2, 2)]).table();
+    let mut forwarder = forwarder(&table);
+    for number in 10..200 {
+        let decision = forwarder.decide(at(5_000), &table, &opening(number, 0), false);
+        let Decision::Place { destination, .. } = decision else {
+            panic!("{decision:?}");
+        };
+        assert_eq!(destination.instance, InstanceId(2));
+    }
+}
+
+/// A node that knows eight instances and one peer.
+fn coordinator() -> Coordinator {
+    let own = SocketAddrV4::new([10, 1, 0, 1].into(), 7_000);
+    let exchange = Exchange::new(ExchangeSettings::default(), own, Vec::new(), 1);
+    let mut replica = Replica::new(TOMBSTONE_LIFETIME);
+    replica.adopt_configuration(configuration(1, &[("till", 1)]));
+    let records: Vec<InstanceRecord> = (1..=8).map(|id| record(id, id)).collect();
+    replica.replace_instances(at(0), Revision(10), records);
+    let mut coordinator = Coordinator::new(replica, exchange);
+    let heartbeat = Heartbeat {
+        versions: Versions::default(),
+        leaving: false,
+        confirmed_age_milliseconds: None,
+        claims: Vec::new(),
+        peers: Vec::new(),
+        failing: Vec::new(),
+    };
+    coordinator.datagram(at(10), peer(), PeerDatagram::Heartbeat(heartbeat));
+    coordinator
+}
+
+fn peer() -> SocketAddrV4 {
+    SocketAddrV4::new([10, 1, 0, 2].into(), 7_000)
+}
+
+fn questions(effects: &[ExchangeEffect]) -> Vec<Vec<u32>> {
+    let questions = effects.iter().filter_map(|effect| match effect {
+        ExchangeEffect::SendQuestion { question, .. } => Some(question.cookies.clone()),
+        _ => None,
+    });
+    questions.collect()
+}
+
+#[test]
+fn a_verdict_is_told_to_peers_and_a_question_is_passed_on_once() {
+    let mut node = coordinator();
+    node.doubt(at(100), &[cookie(1)]);
+    let batch = node.next_probe(at(100), &[cookie(5), cookie(6)]).unwrap();
+    let addresses: BTreeSet<SocketAddrV4> = batch.next_addresses().into_iter().collect();
+    let expected = [1, 5, 6].map(address);
+    assert_eq!(
+        addresses,
+        BTreeSet::from(expected),
+        "sound ones as controls"
+    );
+    assert_eq!(node.next_probe(at(100), &[]), None, "it is under way");
+    let (changes, effects) = node.probed(at(400), &[(cookie(1), ProbeOutcome::Unreachable)]);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(questions(&effects), [vec![cookie(1).bits()]]);
+
+    let mut other = coordinator();
+    let question = Question {
+        cookies: vec![cookie(1).bits(), cookie(77).bits()],
+    };
+    let ask = PeerDatagram::Question(question);
+    let effects = other.datagram(at(500), peer(), ask.clone()).effects;
+    assert_eq!(
+        questions(&effects),
+        [vec![cookie(1).bits()]],
+        "77 is not known"
+    );
+    assert_eq!(
+        questions(&other.datagram(at(501), peer(), ask).effects),
+        Vec::<Vec<u32>>::new()
+    );
+    // It finds out for itself: a peer's word alone ends no flow.
+    assert!(other.unreachable(at(501)).is_empty());
+    assert!(other.next_probe(at(501), &[]).is_some());
+}
+
+#[test]
+fn controls_are_others_than_the_instances_in_question() {
+    let mut node = coordinator();
+    let doubted: Vec<Cookie> = (1..=6).map(cookie).collect();
+    node.doubt(at(100), &doubted);
+    let batch = node.next_probe(at(100), &[cookie(2), cookie(3)]).unwrap();
+    let addresses: BTreeSet<SocketAddrV4> = batch.next_addresses().into_iter().collect();
+    assert_eq!(addresses, (1..=8).map(address).collect());
+    let outcomes = batch.outcomes();
+    assert_eq!(outcomes.len(), 6, "7 and 8 are the controls");
+}
--- a/crates/bellyoke-core/tests/cookie/support.rs
+++ b/crates/bellyoke-core/tests/cookie/support.rs
@@ -82,6 +82,7 @@
         role: PacketRole::Opening { attempt },
         cookie: None,
         data_sequence: None,
+        acknowledged: 0,
     }
 }
 
@@ -91,5 +92,6 @@
         role: PacketRole::Later,
         cookie: Some(cookie),
         data_sequence: None,
+        acknowledged: 0,
     }
 }
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -15,6 +15,7 @@
 use bellyoke_core::cookie::health::HealthSettings;
 use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord, InstanceState};
 use bellyoke_core::cookie::packet::{Destination, PacketRole};
+use bellyoke_core::cookie::reachability::{ProbeBatch, ProbeOutcome};
 use bellyoke_core::cookie::readiness::Lifecycle;
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Versions};
 use bellyoke_core::cookie::revision::Revision;
@@ -268,6 +269,10 @@
         };
         let mut effects = self.publish(outcome);
         self.forwarder.review(now, &self.table);
+        let failed = self.forwarder.take_failed();
+        self.coordinator.doubt(now, &failed);
+        let unreachable = self.coordinator.unreachable(now);
+        self.forwarder.set_unreachable(&unreachable);
         let failing: Vec<_> = self.forwarder.failing_instances().collect();
         if failing != self.told_failing && !self.lacks(Ablation::NoPeers) {
             self.told_failing.clone_from(&failing);
@@ -280,6 +285,28 @@
         effects
     }
 
+    /// The probe that it wants to begin.
+    pub fn next_probe(&mut self, now: Timestamp) -> Option<ProbeBatch> {
+        if self.lacks(Ablation::NoProbes) {
+            return None;
+        }
+        let sound = self.forwarder.sound_instances(now);
+        self.coordinator.next_probe(now, &sound)
+    }
+
+    /// A probe is over.
+    pub fn probed(
+        &mut self,
+        now: Timestamp,
+        outcomes: &[(Cookie, ProbeOutcome)],
+    ) -> Vec<ExchangeEffect> {
+        let (_, effects) = self.coordinator.probed(now, outcomes);
+        if self.lacks(Ablation::NoPeers) {
+            return Vec::new();
+        }
+        effects
+    }
+
     /// The calls to make now.
     pub fn store_calls(&mut self, now: Timestamp) -> Vec<StoreCall> {
         let kinds = ObjectKind::read(self.reads_zones).iter();
--- a/crates/bellyoke-lab/src/cookie/packet.rs
+++ b/crates/bellyoke-lab/src/cookie/packet.rs
@@ -72,6 +72,7 @@
             role,
             cookie: Cookie::from_bits(self.echo),
             data_sequence: (!self.data.is_empty()).then_some(self.sequence),
+            acknowledged: self.acknowledged,
         })
     }
 
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -43,6 +43,8 @@
     RestForever,
     /// Open flows of dead targets are left to their clients.
     NoResets,
+    /// No instance is ever probed.
+    NoProbes,
     /// The instances of drained zones take new flows.
     IgnoreDrainedZones,
 }
@@ -74,6 +76,11 @@
         /// The target.
         target: usize,
     },
+    /// A target takes no connections any more, though it serves its flows and new ones.
+    Deafen {
+        /// The target.
+        target: usize,
+    },
     /// A new target of a service starts, at the address of another one if that is named.
     Start {
         /// Index of the service.
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -13,6 +13,7 @@
 use super::store::{Store, StoreAnswer};
 use bellyoke_core::cookie::exchange::{ExchangeEffect, PeerDatagram};
 use bellyoke_core::cookie::instance::InstanceId;
+use bellyoke_core::cookie::reachability::ProbeBatch;
 use bellyoke_core::cookie::replica::Snapshot;
 use bellyoke_core::time::Timestamp;
 use machines::{Machine, MachineState, RunningTarget};
@@ -40,6 +41,9 @@
 /// Bytes of a message between nodes, about.
 const PEER_DATAGRAM: usize = 400;
 
+/// Bytes of the packet that opens a connection, about.
+const CONNECTION_PACKET: usize = 60;
+
 /// Port of the exchange between nodes.
 const PEER_PORT: u16 = 7_000;
 
@@ -90,6 +94,11 @@
         from: SocketAddrV4,
         snapshot: Option<Snapshot>,
     },
+    ProbeAttempt {
+        node: usize,
+        life: u64,
+        batch: ProbeBatch,
+    },
     Start {
         node: usize,
         life: u64,
@@ -274,6 +283,7 @@
                 from,
                 snapshot,
             } => self.fetched(node, life, from, snapshot),
+            Event::ProbeAttempt { node, life, batch } => self.probe_attempt(node, life, batch),
             Event::Start { node, life } => {
                 if self.machines[node].life == life {
                     self.start_node(node);
@@ -301,6 +311,7 @@
         self.serve_watches();
         for node in 0..self.machines.len() {
             self.make_store_calls(node);
+            self.begin_probe(node);
         }
         self.after(TICK, Event::Tick);
     }
@@ -366,6 +377,9 @@
                     };
                     self.send_datagram(node, to, datagram);
                 }
+                ExchangeEffect::SendQuestion { to, question } => {
+                    self.send_datagram(node, to, PeerDatagram::Question(question));
+                }
                 ExchangeEffect::Fetch { from } => self.fetch(node, from),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-lab/src/cookie/world/actions.rs
+++ b/crates/bellyoke-lab/src/cookie/world/actions.rs
@@ -19,6 +19,7 @@
             Action::Drain { target, serves_for } => self.drain(target, serves_for),
             Action::Vanish { target, serves_for } => self.vanish(target, serves_for),
             Action::Crash { target } => self.crash(target),
+            Action::Deafen { target } => self.targets[target].deaf = true,
             Action::Start {
                 service,
                 address_of,
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -1,6 +1,6 @@
 //! The machines of the world: nodes that run, stand still or are down, and targets.
 
-use super::{Event, NODE_TICK, World, peer_address};
+use super::{CONNECTION_PACKET, Event, NODE_TICK, World, peer_address};
 use crate::cookie::link::{Link, LinkSettings};
 use crate::cookie::node::{Node, StoreCall};
 use crate::cookie::packet::Packet;
@@ -11,6 +11,7 @@
 use bellyoke_core::cookie::exchange::PeerDatagram;
 use bellyoke_core::cookie::follower::Read;
 use bellyoke_core::cookie::instance::{InstanceId, InstanceRecord};
+use bellyoke_core::cookie::reachability::{ATTEMPT_TIMEOUT, ProbeBatch};
 use bellyoke_core::cookie::replica::Snapshot;
 use bellyoke_core::time::Timestamp;
 use rand::RngExt;
@@ -87,6 +88,14 @@
     pub target: Option<Target>,
     /// The record that it writes again when it was lost.
     pub record: Option<InstanceRecord>,
+    /// Whether it takes no connections, though it serves its flows.
+    pub deaf: bool,
+}
+
+impl RunningTarget {
+    const fn listens(&self) -> bool {
+        self.target.is_some() && !self.deaf
+    }
 }
 
 impl World {
@@ -174,6 +183,47 @@
         }
     }
 
+    /// Begins the probe that a node wants, if it wants one.
+    pub(super) fn begin_probe(&mut self, node: usize) {
+        let machine = &mut self.machines[node];
+        let life = machine.life;
+        let mut batches = Vec::new();
+        if let MachineState::Running(process) = &mut machine.state {
+            batches.extend(std::iter::from_fn(|| process.next_probe(self.now)));
+        }
+        for batch in batches {
+            self.probe_attempt(node, life, batch);
+        }
+    }
+
+    /// Makes an attempt of a probe, and the next one when its time is over.
+    pub(super) fn probe_attempt(&mut self, node: usize, life: u64, mut batch: ProbeBatch) {
+        if self.machines[node].life != life {
+            return;
+        }
+        if batch.is_over() {
+            if let MachineState::Running(process) = &mut self.machines[node].state {
+                let effects = process.probed(self.now, &batch.outcomes());
+                self.effects(node, effects);
+            }
+            return;
+        }
+        let addresses = batch.next_addresses().into_iter();
+        let opened = addresses.filter(|address| self.connects(node, *address));
+        batch.attempted(&opened.collect());
+        let event = Event::ProbeAttempt { node, life, batch };
+        self.after(ATTEMPT_TIMEOUT, event);
+    }
+
+    /// Whether a connection from a node to an address opens.
+    fn connects(&mut self, node: usize, address: SocketAddrV4) -> bool {
+        let sent = self.machines[node].send(self.now, CONNECTION_PACKET);
+        let lost = self.scenario.loss > 0.0 && self.random.random_bool(self.scenario.loss);
+        let mut targets = self.targets.iter();
+        let listens = targets.any(|target| target.address == address && target.listens());
+        sent.is_some() && !lost && listens
+    }
+
     pub(super) fn datagram(&mut self, from: usize, to: usize, datagram: PeerDatagram) {
         if let MachineState::Running(process) = &mut self.machines[to].state {
             let effects = process.datagram(self.now, peer_address(from), datagram);
@@ -315,6 +365,7 @@
             address,
             target: Some(Target::new(settings)),
             record: Some(record),
+            deaf: false,
         });
     }
 
--- a/crates/bellyoke-node/src/connection/mod.rs
+++ b/crates/bellyoke-node/src/connection/mod.rs
@@ -5,4 +5,5 @@
 pub mod http_server;
 pub mod patient_io;
 pub mod peers;
+pub mod probes;
 pub mod store;
--- a/crates/bellyoke-node/src/connection/peers.rs
+++ b/crates/bellyoke-node/src/connection/peers.rs
@@ -5,7 +5,7 @@
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::exchange::{
     DecodeError, EncodeError, ExchangeEffect, FETCH_PATIENCE, FetchRequest, Heartbeat,
-    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerKey,
+    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerKey, Question,
     decode_snapshot, encode_snapshot,
 };
 use bellyoke_core::cookie::replica::{Snapshot, Versions};
@@ -75,6 +75,7 @@
                         self.send_heartbeat(to, &heartbeat);
                     }
                 }
+                ExchangeEffect::SendQuestion { to, question } => self.send_question(to, &question),
                 ExchangeEffect::Fetch { from } => {
                     tokio::task::spawn_local(fetch(self.clone(), from));
                 }
@@ -98,6 +99,15 @@
         }
     }
 
+    fn send_question(&self, to: SocketAddrV4, question: &Question) {
+        let control = self.control.borrow();
+        if let Ok(bytes) = question.encode(control.peer_key())
+            && self.socket.try_send_to(&bytes, to.into()).is_ok()
+        {
+            control.metrics().questions_sent.inc();
+        }
+    }
+
     /// Sends what a peer lacks. Returns false if a delta can't tell it.
     fn send_delta(&self, to: SocketAddrV4, known: Versions) -> bool {
         let control = self.control.borrow();
--- /dev/null
+++ b/crates/bellyoke-node/src/connection/probes.rs
@@ -0,0 +1,71 @@
+//! Probes of instances in question: connections that are opened and closed again.
+
+use super::peers::PeerLink;
+use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::reachability::{ATTEMPT_TIMEOUT, ProbeBatch};
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::Receiver;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout};
+
+/// Longest time before the node looks whether an instance is to be probed again.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long questions are collected before a probe begins.
+const COLLECT_TIME: Duration = Duration::from_millis(20);
+
+/// Probes the instances that the traffic thread or a peer doubts, for the life of the process.
+pub async fn probe_instances(link: PeerLink, mut doubts: Receiver<Vec<Cookie>>) {
+    let asked = link.control.borrow().asked();
+    loop {
+        tokio::select! {
+            doubted = doubts.recv() => {
+                let Some(doubted) = doubted else { return };
+                link.control.borrow_mut().doubt(&doubted);
+            }
+            () = asked.notified() => {}
+            () = sleep(LOOK_INTERVAL) => {}
+        }
+        // What is asked together is probed together, beside the same controls.
+        sleep(COLLECT_TIME).await;
+        let next = || link.control.borrow_mut().next_probe();
+        while let Some(batch) = next() {
+            tokio::task::spawn_local(probe(link.clone(), batch));
+        }
+    }
+}
+
+async fn probe(link: PeerLink, mut batch: ProbeBatch) {
+    while !batch.is_over() {
+        let opened = attempt(&batch.next_addresses()).await;
+        batch.attempted(&opened);
+    }
+    let effects = link.control.borrow_mut().probed(&batch.outcomes());
+    link.perform(effects);
+}
+
+/// The addresses at which a connection opens in time. Lasts the whole time unless all do, so that
+/// attempts at a machine that refuses are spread like those at one that is silent.
+async fn attempt(addresses: &[SocketAddrV4]) -> BTreeSet<SocketAddrV4> {
+    let over = tokio::time::Instant::now() + ATTEMPT_TIMEOUT;
+    let mut connecting = JoinSet::new();
+    for address in addresses {
+        let address = *address;
+        connecting.spawn_local(async move {
+            let connected = timeout(ATTEMPT_TIMEOUT, TcpStream::connect(address)).await;
+            // Whatever the reason, it didn't open; the verdict's log line tells the instance.
+            matches!(connected, Ok(Ok(_))).then_some(address)
+        });
+    }
+    let mut opened = BTreeSet::new();
+    while let Some(ended) = connecting.join_next().await {
+        opened.extend(ended.ok().flatten());
+    }
+    if opened.len() < addresses.len() {
+        sleep_until(over).await;
+    }
+    opened
+}
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -25,6 +25,8 @@
     RefusedNoInstance,
     /// The open flow was ended with a reset: its instance's address has passed to another one.
     ResetSuperseded,
+    /// The open flow was ended with a reset: its instance can't be reached.
+    ResetUnreachable,
     /// Dropped: it waited while the process stood still.
     DroppedBacklog,
     /// Dropped: its cookie is not known.
@@ -44,13 +46,14 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 15] = [
         Self::Placed,
         Self::Followed,
         Self::Held,
         Self::RefusedNoRoute,
         Self::RefusedNoInstance,
         Self::ResetSuperseded,
+        Self::ResetUnreachable,
         Self::DroppedBacklog,
         Self::DroppedUnknownCookie,
         Self::DroppedDuplicate,
@@ -71,6 +74,7 @@
             Self::RefusedNoRoute => "refused_no_route",
             Self::RefusedNoInstance => "refused_no_instance",
             Self::ResetSuperseded => "reset_superseded",
+            Self::ResetUnreachable => "reset_unreachable",
             Self::DroppedBacklog => "dropped_backlog",
             Self::DroppedUnknownCookie => "dropped_unknown_cookie",
             Self::DroppedDuplicate => "dropped_duplicate",
@@ -91,6 +95,7 @@
             Decision::Refuse(RefusalReason::NoRoute) => Self::RefusedNoRoute,
             Decision::Refuse(RefusalReason::NoInstance) => Self::RefusedNoInstance,
             Decision::Reset(ResetReason::Superseded) => Self::ResetSuperseded,
+            Decision::Reset(ResetReason::Unreachable) => Self::ResetUnreachable,
             Decision::Drop(DropReason::Backlog) => Self::DroppedBacklog,
             Decision::Drop(DropReason::UnknownCookie) => Self::DroppedUnknownCookie,
             Decision::Drop(DropReason::NoCookie) => Self::DroppedNoCookie,
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -17,6 +17,7 @@
 use nix::poll::{PollFd, PollFlags, ppoll};
 use nix::sys::socket::{MsgFlags, recv};
 use nix::sys::time::TimeSpec;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{SocketAddrV4, UdpSocket};
 use std::os::fd::AsRawFd;
@@ -231,12 +232,33 @@
         let suspected = self.shared.peer_suspicions.load();
         self.forwarder.set_peer_suspicions(&suspected);
         self.log_health_changes(now, table);
+        self.exchange_doubts(now);
         let failing: Vec<Cookie> = self.forwarder.failing_instances().collect();
         if **self.shared.failing.load() != failing {
             self.shared.failing.store(Arc::new(failing));
         }
     }
 
+    /// Says which instances are in question, and hears which can't be reached. While this node's own
+    /// link loses data it neither asks nor acts: what it sees may be its own fault.
+    fn exchange_doubts(&mut self, now: Timestamp) {
+        let failed = self.forwarder.take_failed();
+        let sound = self.forwarder.sound_instances(now);
+        if **self.shared.sound.load() != sound {
+            self.shared.sound.store(Arc::new(sound));
+        }
+        if self.sender.bytes_per_second().is_some() {
+            self.forwarder.set_unreachable(&BTreeSet::new());
+            return;
+        }
+        let unreachable = self.shared.unreachable.load();
+        self.forwarder.set_unreachable(&unreachable);
+        // If the control thread is behind, the next failure asks again.
+        if !failed.is_empty() {
+            let _ = self.shared.doubts.try_send(failed);
+        }
+    }
+
     fn show_link(&mut self, now: Timestamp) {
         let (rate, held) = (self.sender.bytes_per_second(), self.sender.held());
         self.shared.packets.show_link(rate, held);
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -14,6 +14,7 @@
 use bellyoke_core::cookie::follower::{Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use bellyoke_core::cookie::reachability::{ProbeBatch, ProbeOutcome};
 use bellyoke_core::cookie::readiness::{Lifecycle, Unready};
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, Versions};
 use bellyoke_core::cookie::revision::Revision;
@@ -28,6 +29,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Period of [`Control::tick`].
 pub const TICK: Duration = Duration::from_millis(100);
@@ -57,6 +59,8 @@
     metrics: ControlMetrics,
     limiter: LogLimiter,
     told_failing: Arc<Vec<Cookie>>,
+    /// Told when a peer asks whether instances can be reached.
+    asked: Arc<Notify>,
     was_ready: bool,
     last_duty: StoreDuty,
 }
@@ -87,6 +91,7 @@
             registry,
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             told_failing: Arc::default(),
+            asked: Arc::default(),
             was_ready: false,
             last_duty: StoreDuty::Listener,
             shared,
@@ -263,11 +268,44 @@
         match datagram {
             PeerDatagram::Heartbeat(_) => self.metrics.heartbeats_received.inc(),
             PeerDatagram::Delta(_) => self.metrics.deltas_received.inc(),
+            PeerDatagram::Question(_) => {
+                self.asked.notify_one();
+                self.metrics.questions_received.inc()
+            }
         };
         let outcome = self.coordinator.datagram(self.clock.now(), from, datagram);
         self.take(outcome, Source::Peer)
     }
 
+    /// Told when a peer asks whether instances can be reached.
+    #[must_use]
+    pub fn asked(&self) -> Arc<Notify> {
+        Arc::clone(&self.asked)
+    }
+
+    /// The traffic thread's openings at some instances came to nothing.
+    pub fn doubt(&mut self, cookies: &[Cookie]) {
+        self.coordinator.doubt(self.clock.now(), cookies);
+    }
+
+    /// The probe to begin now, if an instance is in question.
+    pub fn next_probe(&mut self) -> Option<ProbeBatch> {
+        let sound = self.shared.sound.load();
+        self.coordinator.next_probe(self.clock.now(), &sound)
+    }
+
+    /// A probe is over.
+    pub fn probed(&mut self, outcomes: &[(Cookie, ProbeOutcome)]) -> Vec<ExchangeEffect> {
+        let now = self.clock.now();
+        self.count_probes(outcomes);
+        let (changes, effects) = self.coordinator.probed(now, outcomes);
+        for change in changes {
+            self.log_reachability(now, change);
+        }
+        self.show_unreachable(now);
+        effects
+    }
+
     /// Time has passed.
     pub fn tick(&mut self) -> Vec<ExchangeEffect> {
         let now = self.clock.now();
@@ -285,6 +323,7 @@
         }
         let mut effects = outcome.effects;
         effects.extend(self.exchange_suspicions(now));
+        self.show_unreachable(now);
         self.note_duty(now);
         self.show_state(now);
         effects
@@ -332,6 +371,14 @@
         self.shared.table.store(Arc::new(table));
     }
 
+    /// Tells the traffic thread which instances can't be reached.
+    fn show_unreachable(&self, now: Timestamp) {
+        let unreachable = self.coordinator.unreachable(now);
+        if **self.shared.unreachable.load() != unreachable {
+            self.shared.unreachable.store(Arc::new(unreachable));
+        }
+    }
+
     /// Tells peers at once of a new suspicion, and the traffic thread of theirs.
     fn exchange_suspicions(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -1,7 +1,10 @@
 //! What the control thread tells of itself: log lines for changed beliefs, and gauges.
 
+use super::super::metrics::ProbeLabels;
 use super::Control;
 use bellyoke_api::event_code::EventCode;
+use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
@@ -75,6 +78,31 @@
         );
     }
 
+    pub(super) fn count_probes(&self, outcomes: &[(Cookie, ProbeOutcome)]) {
+        for (_, outcome) in outcomes {
+            let outcome = match outcome {
+                ProbeOutcome::Reached => "reached",
+                ProbeOutcome::Unreachable => "unreachable",
+                ProbeOutcome::Inconclusive => "inconclusive",
+            };
+            self.metrics
+                .probes
+                .get_or_create(&ProbeLabels { outcome })
+                .inc();
+        }
+    }
+
+    pub(super) fn log_reachability(&mut self, now: Timestamp, change: ReachabilityChange) {
+        let event = if change.unreachable {
+            EventCode::InstanceUnreachable
+        } else {
+            EventCode::InstanceReached
+        };
+        let cookie = change.cookie.bits();
+        self.limiter
+            .log(event, now, format_args!("cookie={cookie:08x}"));
+    }
+
     pub(super) fn log_zones(&mut self, source: Source) {
         let now = self.clock.now();
         let zones = self.coordinator.replica().zones();
@@ -108,6 +136,8 @@
         set(&metrics.peers, heard.count() as u128);
         let instances = self.coordinator.replica().directory().instances();
         set(&metrics.instances, instances.count() as u128);
+        let unreachable = self.shared.unreachable.load().len();
+        set(&metrics.unreachable, unreachable as u128);
         let drained = self.coordinator.replica().zones().drained();
         set(&metrics.drained_zones, drained.count() as u128);
         let configuration = self.coordinator.replica().configuration();
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -21,6 +21,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a probe.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ProbeLabels {
+    /// `reached`, `unreachable` or `inconclusive`.
+    pub outcome: &'static str,
+}
+
 /// What the control thread counts.
 #[derive(Debug)]
 pub struct ControlMetrics {
@@ -32,6 +39,14 @@
     pub heartbeats_sent: Counter,
     /// Heartbeats received.
     pub heartbeats_received: Counter,
+    /// Questions about instances sent to peers.
+    pub questions_sent: Counter,
+    /// Questions about instances received.
+    pub questions_received: Counter,
+    /// Probes of instances, by what they found.
+    pub probes: Family<ProbeLabels, Counter>,
+    /// Instances that this node can't reach.
+    pub unreachable: Gauge,
     /// Deltas sent to peers.
     pub deltas_sent: Counter,
     /// Deltas received.
@@ -63,6 +78,10 @@
             store_calls: Family::default(),
             heartbeats_sent: Counter::default(),
             heartbeats_received: Counter::default(),
+            questions_sent: Counter::default(),
+            questions_received: Counter::default(),
+            probes: Family::default(),
+            unreachable: Gauge::default(),
             deltas_sent: Counter::default(),
             deltas_received: Counter::default(),
             heartbeats_rejected: Counter::default(),
@@ -95,6 +114,16 @@
                 "Heartbeats received",
                 &metrics.heartbeats_received,
             ),
+            (
+                "questions_received",
+                "Questions about instances received",
+                &metrics.questions_received,
+            ),
+            (
+                "questions_sent",
+                "Questions about instances sent to peers",
+                &metrics.questions_sent,
+            ),
             ("deltas_sent", "Deltas sent to peers", &metrics.deltas_sent),
             (
                 "deltas_received",
@@ -120,7 +149,17 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register(
+            "probes",
+            "Probes of instances in question by outcome",
+            metrics.probes.clone(),
+        );
         let gauges = [
+            (
+                "unreachable",
+                "Instances that this node can't reach",
+                &metrics.unreachable,
+            ),
             ("peers", "Peers heard of late", &metrics.peers),
             (
                 "instances",
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -7,6 +7,7 @@
 use crate::connection::follow::follow;
 use crate::connection::http_server;
 use crate::connection::peers::{PeerLink, receive_datagrams, serve_snapshots};
+use crate::connection::probes::probe_instances;
 use crate::connection::store::Store;
 use crate::packet::{PacketCounters, start_traffic_thread};
 use anyhow::Context;
@@ -30,9 +31,14 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval};
 
+/// Doubts of the traffic thread that wait for the control thread; further ones are dropped, and the
+/// next failure tells them again.
+const MAXIMUM_DOUBTS: usize = 64;
+
 /// How often the settings file is compared with what is in force, since it may change without
 /// a signal.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
@@ -142,7 +148,8 @@
     let mut signals = Signals::take()?;
     let mut registry = Registry::with_prefix("bellyoke");
     let packets = PacketCounters::new(&mut registry);
-    let shared = Arc::new(Shared::new(clock, packets));
+    let (doubts, doubted) = mpsc::channel(MAXIMUM_DOUBTS);
+    let shared = Arc::new(Shared::new(clock, packets, doubts));
     let control = Control::new(&settings, Arc::clone(&shared), registry);
     let control = Rc::new(RefCell::new(control));
     let link = bind_all(&settings, &control).await?;
@@ -152,6 +159,7 @@
     start_traffic_thread("traffic-0".to_owned(), data_socket, codec, shared)
         .context("start a traffic thread")?;
     follow_store(&link, &settings, &store);
+    spawn_local(probe_instances(link.clone(), doubted));
     log_event(
         EventCode::ProcessStarted,
         format_args!(
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -9,6 +9,7 @@
 use bellyoke_process::clock::MonotonicClock;
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::mpsc::Sender;
 
 /// Written by the control thread, read by all.
 #[derive(Debug)]
@@ -23,19 +24,32 @@
     pub failing: ArcSwap<Vec<Cookie>>,
     /// Instances that peers suspect, for the traffic thread.
     pub peer_suspicions: ArcSwap<BTreeSet<Cookie>>,
+    /// Instances that this node can't reach, for the traffic thread.
+    pub unreachable: ArcSwap<BTreeSet<Cookie>>,
+    /// Instances at which the traffic thread's openings completed a moment ago.
+    pub sound: ArcSwap<Vec<Cookie>>,
+    /// Where the traffic thread says which instances it doubts.
+    pub doubts: Sender<Vec<Cookie>>,
     last_tick: AtomicU64,
     stalls: AtomicU64,
 }
 
 impl Shared {
-    /// An empty table, a first tick now.
+    /// An empty table, a first tick now. Doubts of the traffic thread go to `doubts`.
     #[must_use]
-    pub fn new(clock: MonotonicClock, packets: PacketCounters) -> Self {
+    pub fn new(
+        clock: MonotonicClock,
+        packets: PacketCounters,
+        doubts: Sender<Vec<Cookie>>,
+    ) -> Self {
         Self {
             table: ArcSwap::default(),
             packets,
             failing: ArcSwap::default(),
             peer_suspicions: ArcSwap::default(),
+            unreachable: ArcSwap::default(),
+            sound: ArcSwap::default(),
+            doubts,
             last_tick: AtomicU64::new(clock.now().as_micros()),
             stalls: AtomicU64::new(0),
             clock,
