Let openings avoid an instance that was unreachable until it shows life

Now openings avoid such an instance for ten seconds, or until a flow there goes on. Flows are not ended for it.

Ruled out: asking the instance for its identity by a health check (takes a slot; not tried).

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -313,6 +313,12 @@
         (changes, self.exchange.ask_peers(&lost))
     }
 
+    /// Instances that openings avoid: those that this node can't reach, or couldn't a while ago.
+    #[must_use]
+    pub fn avoided(&self, now: Timestamp) -> BTreeSet<Cookie> {
+        self.reachability.avoided(now)
+    }
+
     /// Instances that this node can't reach.
     #[must_use]
     pub fn unreachable(&self, now: Timestamp) -> BTreeSet<Cookie> {
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -102,14 +102,16 @@
     monitor: OpeningMonitor,
     loads: LoadMeter,
     unreachable: BTreeSet<Cookie>,
+    /// The same and those that were unreachable a while ago.
+    avoided: BTreeSet<Cookie>,
     /// When data of flows was first sent.
     first_sent: SeenTable,
     acknowledged: AcknowledgementTable,
     /// When an instance last showed that it lives.
     alive_at: SeenTable,
-    /// Instances that showed life while probes said that they can't be reached: they only take no
-    /// connections, so that probes tell nothing of them.
-    deaf: BTreeSet<Cookie>,
+    /// Instances that showed life while probes spoke against them: they only take no connections, so
+    /// that probes tell nothing of them.
+    proven: BTreeSet<Cookie>,
 }
 
 impl Forwarder {
@@ -120,10 +122,11 @@
             monitor: OpeningMonitor::new(settings),
             loads: LoadMeter::default(),
             unreachable: BTreeSet::new(),
+            avoided: BTreeSet::new(),
             first_sent: SeenTable::new(FIRST_SENT_PLACES),
             acknowledged: AcknowledgementTable::new(FLOW_PLACES),
             alive_at: SeenTable::new(INSTANCE_PLACES),
-            deaf: BTreeSet::new(),
+            proven: BTreeSet::new(),
         }
     }
 
@@ -149,7 +152,7 @@
         self.monitor.expire(now);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
-        self.deaf.retain(|cookie| is_known(*cookie));
+        self.proven.retain(|cookie| is_known(*cookie));
         self.monitor.take_changes()
     }
 
@@ -176,11 +179,14 @@
         sound
     }
 
-    /// Instances that this node can't reach.
-    pub fn set_unreachable(&mut self, unreachable: &BTreeSet<Cookie>) {
+    /// Instances that this node can't reach, and those that openings avoid, of which these are some.
+    pub fn set_unreachable(&mut self, unreachable: &BTreeSet<Cookie>, avoided: &BTreeSet<Cookie>) {
         if self.unreachable != *unreachable {
             self.unreachable.clone_from(unreachable);
         }
+        if self.avoided != *avoided {
+            self.avoided.clone_from(avoided);
+        }
     }
 
     /// The process stood still: openings under way prove nothing.
@@ -206,13 +212,13 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let monitor = &self.monitor;
-        let is_unreachable = |cookie| self.is_unreachable(cookie);
+        let is_avoided = |cookie| self.is_avoided(cookie);
         let loads = &self.loads;
         let chosen = choose_instance(
             table.candidates(part),
             flow_hash,
             attempt,
-            |candidate| suitability(now, monitor, is_unreachable, candidate),
+            |candidate| suitability(now, monitor, is_avoided, candidate),
             |candidate| {
                 // A dead instance is idle too, but not therefore to be preferred.
                 if monitor.is_doubted(candidate.cookie) {
@@ -225,7 +231,7 @@
         let Some(chosen) = chosen else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
-        let suitability = suitability(now, monitor, is_unreachable, chosen);
+        let suitability = suitability(now, monitor, is_avoided, chosen);
         let suitability = suitability.unwrap_or(Suitability::RecentlyGone);
         let destination = chosen.destination();
         self.monitor.opening(now, flow_hash, destination.cookie);
@@ -252,8 +258,12 @@
         is_repeat && self.is_unreachable(cookie) && !self.is_alive(now, cookie)
     }
 
+    fn is_avoided(&self, cookie: Cookie) -> bool {
+        self.avoided.contains(&cookie) && !self.proven.contains(&cookie)
+    }
+
     fn is_unreachable(&self, cookie: Cookie) -> bool {
-        self.unreachable.contains(&cookie) && !self.deaf.contains(&cookie)
+        self.unreachable.contains(&cookie) && !self.proven.contains(&cookie)
     }
 
     /// Notes that a flow goes on, if this packet shows it.
@@ -266,8 +276,8 @@
 
     fn lives(&mut self, now: Timestamp, cookie: Cookie) {
         self.alive_at.note(now, life_key(cookie));
-        if self.unreachable.contains(&cookie) {
-            self.deaf.insert(cookie);
+        if self.avoided.contains(&cookie) {
+            self.proven.insert(cookie);
         }
     }
 
@@ -311,13 +321,13 @@
 fn suitability(
     now: Timestamp,
     monitor: &OpeningMonitor,
-    is_unreachable: impl Fn(Cookie) -> bool,
+    is_avoided: impl Fn(Cookie) -> bool,
     candidate: &Candidate,
 ) -> Option<Suitability> {
     if let Some(gone_at) = candidate.gone_at {
         return (now.since(gone_at) < RECENTLY_GONE).then_some(Suitability::RecentlyGone);
     }
-    if is_unreachable(candidate.cookie) || monitor.is_suspected(now, candidate.cookie) {
+    if is_avoided(candidate.cookie) || monitor.is_suspected(now, candidate.cookie) {
         return Some(Suitability::Suspected);
     }
     if now < candidate.warm_at {
--- a/crates/bellyoke-core/src/cookie/reachability.rs
+++ b/crates/bellyoke-core/src/cookie/reachability.rs
@@ -47,6 +47,11 @@
 /// Probes in a row that may find nothing out before the question is dropped.
 const INCONCLUSIVE_PROBES: u32 = 3;
 
+/// How long openings avoid an instance after it took connections again: what answers there may be
+/// another instance that has taken over its address, of which the records tell later. Longer than
+/// the store is away mostly; until then a flow that goes on there proves that it lives.
+const AVOIDANCE: Duration = Duration::from_secs(10);
+
 /// An instance that was probed so lately isn't questioned again.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -179,6 +184,8 @@
     unreachable_at: Option<Timestamp>,
     /// Its record went while it was unreachable: it has ended, unless the record comes back.
     settled: bool,
+    /// Until when openings avoid it though it takes connections again.
+    avoided_until: Timestamp,
     rechecks: u32,
     inconclusive: u32,
 }
@@ -262,6 +269,9 @@
         state.questioned = false;
         state.inconclusive = 0;
         if outcome == ProbeOutcome::Reached {
+            if was_unreachable {
+                state.avoided_until = now.after(AVOIDANCE);
+            }
             state.unreachable_at = None;
             state.settled = false;
             state.rechecks = 0;
@@ -293,6 +303,15 @@
         unreachable.map(|(cookie, _)| *cookie).collect()
     }
 
+    /// Instances that openings avoid: the unreachable ones, and those that were a while ago.
+    #[must_use]
+    pub fn avoided(&self, now: Timestamp) -> BTreeSet<Cookie> {
+        let states = self.states.iter();
+        let avoided =
+            states.filter(|(_, state)| state.is_unreachable(now) || now < state.avoided_until);
+        avoided.map(|(cookie, _)| *cookie).collect()
+    }
+
     /// Whether an instance is in question, or held to be unreachable.
     #[must_use]
     pub fn is_in_doubt(&self, now: Timestamp, cookie: Cookie) -> bool {
@@ -304,6 +323,7 @@
     pub fn stalled(&mut self) {
         for state in self.states.values_mut() {
             state.unreachable_at = None;
+            state.avoided_until = Timestamp::ZERO;
             state.settled = false;
         }
     }
--- a/crates/bellyoke-core/tests/cookie/reachability.rs
+++ b/crates/bellyoke-core/tests/cookie/reachability.rs
@@ -119,7 +119,8 @@
 fn forwarder(table: &ForwardingTable) -> Forwarder {
     let mut forwarder = Forwarder::new(HealthSettings::default());
     forwarder.decide(at(1_000), table, &data(1, 100, 7), false);
-    forwarder.set_unreachable(&BTreeSet::from([cookie(1)]));
+    let unreachable = BTreeSet::from([cookie(1)]);
+    forwarder.set_unreachable(&unreachable, &unreachable);
     forwarder
 }
 
@@ -192,6 +193,40 @@
     }
 }
 
+/// What takes connections there may be another instance, which takes none of the first one's flows.
+#[test]
+fn openings_avoid_an_instance_that_was_unreachable_until_it_shows_life() {
+    let mut monitor = established(1_000);
+    monitor.question(at(3_500), cookie(1), Doubter::Node);
+    monitor.probed(at(3_500), cookie(1), ProbeOutcome::Reached);
+    assert!(
+        monitor.unreachable(at(3_500)).is_empty(),
+        "no flow is ended"
+    );
+    assert!(monitor.avoided(at(13_499)).contains(&cookie(1)));
+    assert!(monitor.avoided(at(13_500)).is_empty());
+
+    let table = node(vec![record(1, 1), record(2, 2)]).table();
+    let mut forwarder = forwarder(&table);
+    let avoided = monitor.avoided(at(3_500));
+    forwarder.set_unreachable(&BTreeSet::new(), &avoided);
+    let mut placed_at_1 = |now: u64| {
+        let mut decisions = (0..50)
+            .map(|number| number + u32::try_from(now).unwrap())
+            .map(|number| forwarder.decide(at(now), &table, &opening(number, 0), false));
+        let placed = decisions.any(|decision| {
+            matches!(decision, Decision::Place { destination, .. } if destination.instance == InstanceId(1))
+        });
+        // The client of a flow at 1 acknowledges something new.
+        let number = u32::try_from(now).unwrap();
+        forwarder.decide(at(now), &table, &data(60_000, number, number), false);
+        placed
+    };
+    assert!(!placed_at_1(4_000));
+    assert!(!placed_at_1(4_060), "the flow's first packet tells nothing");
+    assert!(placed_at_1(4_120));
+}
+
 /// A node that knows eight instances and one peer.
 fn coordinator() -> Coordinator {
     let own = SocketAddrV4::new([10, 1, 0, 1].into(), 7_000);
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -272,7 +272,8 @@
         let failed = self.forwarder.take_failed();
         self.coordinator.doubt(now, &failed);
         let unreachable = self.coordinator.unreachable(now);
-        self.forwarder.set_unreachable(&unreachable);
+        let avoided = self.coordinator.avoided(now);
+        self.forwarder.set_unreachable(&unreachable, &avoided);
         let failing: Vec<_> = self.forwarder.failing_instances().collect();
         if failing != self.told_failing && !self.lacks(Ablation::NoPeers) {
             self.told_failing.clone_from(&failing);
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -248,11 +248,13 @@
             self.shared.sound.store(Arc::new(sound));
         }
         if self.sender.bytes_per_second().is_some() {
-            self.forwarder.set_unreachable(&BTreeSet::new());
+            let none = BTreeSet::new();
+            self.forwarder.set_unreachable(&none, &none);
             return;
         }
         let unreachable = self.shared.unreachable.load();
-        self.forwarder.set_unreachable(&unreachable);
+        let avoided = self.shared.avoided.load();
+        self.forwarder.set_unreachable(&unreachable, &avoided);
         // If the control thread is behind, the next failure asks again.
         if !failed.is_empty() {
             let _ = self.shared.doubts.try_send(failed);
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -377,6 +377,10 @@
         if **self.shared.unreachable.load() != unreachable {
             self.shared.unreachable.store(Arc::new(unreachable));
         }
+        let avoided = self.coordinator.avoided(now);
+        if **self.shared.avoided.load() != avoided {
+            self.shared.avoided.store(Arc::new(avoided));
+        }
     }
 
     /// Tells peers at once of a new suspicion, and the traffic thread of theirs.
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -26,6 +26,8 @@
     pub peer_suspicions: ArcSwap<BTreeSet<Cookie>>,
     /// Instances that this node can't reach, for the traffic thread.
     pub unreachable: ArcSwap<BTreeSet<Cookie>>,
+    /// Those, and the ones that were unreachable a while ago: openings avoid them.
+    pub avoided: ArcSwap<BTreeSet<Cookie>>,
     /// Instances at which the traffic thread's openings completed a moment ago.
     pub sound: ArcSwap<Vec<Cookie>>,
     /// Where the traffic thread says which instances it doubts.
@@ -48,6 +50,7 @@
             failing: ArcSwap::default(),
             peer_suspicions: ArcSwap::default(),
             unreachable: ArcSwap::default(),
+            avoided: ArcSwap::default(),
             sound: ArcSwap::default(),
             doubts,
             last_tick: AtomicU64::new(clock.now().as_micros()),
