Hold to a share of what cold instances may get, so that the sum over all nodes stays below their limit

Cause: nothing bounded the flows that all nodes together open at a cold instance in a second; it held since others have room. Nodes reckon with the largest cluster of the last minute, and with 620 nodes for five seconds after their start.

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -313,6 +313,12 @@
         (changes, self.exchange.ask_peers(&lost))
     }
 
+    /// How many nodes there are, rather too many than too few.
+    #[must_use]
+    pub fn nodes_at_most(&self, now: Timestamp) -> f64 {
+        self.exchange.nodes_at_most(now)
+    }
+
     /// Instances that openings avoid: those that this node can't reach, or couldn't a while ago.
     #[must_use]
     pub fn avoided(&self, now: Timestamp) -> BTreeSet<Cookie> {
--- a/crates/bellyoke-core/src/cookie/exchange/asking.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/asking.rs
@@ -169,7 +169,7 @@
     /// How many nodes there are, as far as this one can tell. It knows a sample, and what share of
     /// all that is shows in what share of those that peers mention it knows (capture and
     /// recapture, Lincoln 1930).
-    fn estimated_nodes(&self) -> f64 {
+    pub(super) fn estimated_nodes(&self) -> f64 {
         let known = u32::try_from(self.peers.iter().count() + 1).unwrap_or(u32::MAX);
         f64::from(known) / self.pacer.known_share.max(LEAST_KNOWN_SHARE)
     }
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -21,6 +21,7 @@
 mod packed;
 mod peers;
 mod settings;
+mod size;
 mod watching;
 
 pub use candidates::{CLAIM_LIFETIME, StoreDuty, WATCHERS, WatcherClaim};
@@ -44,6 +45,7 @@
 use peers::PeerTable;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use size::ClusterSize;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -81,6 +83,7 @@
     distrust_until: Timestamp,
     introductions: u32,
     failing: Vec<Cookie>,
+    size: ClusterSize,
 }
 
 impl Exchange {
@@ -111,6 +114,7 @@
             distrust_until: Timestamp::ZERO,
             introductions: INTRODUCTIONS,
             failing: Vec::new(),
+            size: ClusterSize::default(),
         };
         exchange.set_seeds(seeds);
         exchange
@@ -158,6 +162,8 @@
             }
             self.renew_claim(now);
             self.draw_first_turns(now);
+            let nodes = self.estimated_nodes();
+            self.size.note(now, nodes);
             self.send_round(now, own, &mut effects);
         }
         self.fetch_if_behind(now, own, &behind, &mut effects);
@@ -249,6 +255,12 @@
         self.failing = failing;
     }
 
+    /// How many nodes there are, rather too many than too few.
+    #[must_use]
+    pub fn nodes_at_most(&self, now: Timestamp) -> f64 {
+        self.size.at_most(now)
+    }
+
     /// Passes on that some instances are in question, so that all nodes find out at once.
     pub fn ask_peers(&mut self, cookies: &[Cookie]) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,5 +1,6 @@
 //! The decision for each packet.
 
+use crate::cookie::cold::ColdLimiter;
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
@@ -107,6 +108,7 @@
     /// When data of flows was first sent.
     first_sent: SeenTable,
     acknowledged: AcknowledgementTable,
+    cold: ColdLimiter,
     /// When an instance last showed that it lives.
     alive_at: SeenTable,
     /// Instances that showed life while probes spoke against them: they only take no connections, so
@@ -125,11 +127,23 @@
             avoided: BTreeSet::new(),
             first_sent: SeenTable::new(FIRST_SENT_PLACES),
             acknowledged: AcknowledgementTable::new(FLOW_PLACES),
+            cold: ColdLimiter::new(None, 0),
             alive_at: SeenTable::new(INSTANCE_PLACES),
             proven: BTreeSet::new(),
         }
     }
 
+    /// The same, holding to this node's part of what cold instances may get.
+    #[must_use]
+    pub fn with_cold_limiter(self, cold: ColdLimiter) -> Self {
+        Self { cold, ..self }
+    }
+
+    /// How many nodes there are, at least.
+    pub fn set_nodes(&mut self, nodes: f64) {
+        self.cold.set_nodes(nodes);
+    }
+
     /// What to do with a packet that was read at `now`; `backlog` tells whether it may have
     /// waited while the process stood still.
     pub fn decide(
@@ -150,6 +164,7 @@
     /// instances.
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
+        self.cold.expire(now);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
         self.proven.retain(|cookie| is_known(*cookie));
@@ -211,14 +226,26 @@
         let Some(part) = choose_part(parts, flow_hash) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
+        let candidates = table.candidates(part);
+        // All instances of a service bear the same.
+        let cold_flows = candidates.first();
+        let cold_flows = cold_flows.map_or(0, |candidate| candidate.cold_flows_per_minute);
+        let share = self.cold.share(cold_flows);
+        let cold = &self.cold;
         let monitor = &self.monitor;
         let is_avoided = |cookie| self.is_avoided(cookie);
         let loads = &self.loads;
         let chosen = choose_instance(
-            table.candidates(part),
+            candidates,
             flow_hash,
             attempt,
-            |candidate| suitability(now, monitor, is_avoided, candidate),
+            |candidate| {
+                let is_cold = now < candidate.warm_at;
+                if is_cold && !cold.admits(now, candidate.id, share) {
+                    return None;
+                }
+                suitability(now, monitor, is_avoided, candidate)
+            },
             |candidate| {
                 // A dead instance is idle too, but not therefore to be preferred.
                 if monitor.is_doubted(candidate.cookie) {
@@ -234,6 +261,9 @@
         let suitability = suitability(now, monitor, is_avoided, chosen);
         let suitability = suitability.unwrap_or(Suitability::RecentlyGone);
         let destination = chosen.destination();
+        if now < chosen.warm_at {
+            self.cold.opened(now, chosen.id);
+        }
         self.monitor.opening(now, flow_hash, destination.cookie);
         self.loads.count(now, destination.cookie, OPENING_WEIGHT);
         Decision::Place {
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -9,13 +9,15 @@
 //!
 //! Like the rest of the crate nothing here has a socket, clock or thread:
 //!
-//! * one packet: [`packet`] and [`forwarder`], with [`placement`] of new flows, [`load`] and [`health`] of
+//! * one packet: [`packet`] and [`forwarder`], with [`placement`] of new flows, the limit of [`cold`] instances,
+//!   [`load`] and [`health`] of
 //!   instances from the progress of openings, [`reachability`] of those in question by probes;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
 //!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
 //!   [`exchange`] (peers), [`coordinator`] (these together), [`stall`] and [`readiness`].
 
+pub mod cold;
 pub mod coordinator;
 pub mod delta;
 pub mod directory;
--- a/crates/bellyoke-core/src/cookie/route.rs
+++ b/crates/bellyoke-core/src/cookie/route.rs
@@ -31,7 +31,7 @@
     pub service: String,
     /// How long an instance stays cold, milliseconds.
     pub cold_milliseconds: u32,
-    /// Flows that a cold instance bears in a minute.
+    /// Flows that a cold instance bears in a minute; zero if that isn't told.
     pub cold_flows_per_minute: u32,
 }
 
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -24,7 +24,7 @@
     pub warm_at: Timestamp,
     /// When its record went, if it has.
     pub gone_at: Option<Timestamp>,
-    /// Flows that it bears in a minute while it is cold.
+    /// Flows that it bears in a minute while it is cold; zero if that isn't told.
     pub cold_flows_per_minute: u32,
 }
 
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -836,3 +836,35 @@
     );
     assert_eq!(hear(10_010, 2, 5), [address(2)]);
 }
+
+/// A node that has just started has heard too few to tell, and one that loses its peers doesn't take
+/// itself for the only one: what holds for the sum of all nodes would be broken.
+#[test]
+fn a_node_takes_the_cluster_for_no_smaller_than_it_was() {
+    let mut node = newborn();
+    assert!(node.nodes_at_most(at(10_000)) >= 300.0, "just started");
+    for now in (10_000..20_000).step_by(100) {
+        for number in 1..=40 {
+            let heartbeat = Heartbeat {
+                versions: Versions::default(),
+                leaving: false,
+                confirmed_age_milliseconds: None,
+                claims: Vec::new(),
+                peers: Vec::new(),
+                failing: Vec::new(),
+            };
+            let datagram = PeerDatagram::Heartbeat(heartbeat);
+            node.datagram(at(now), address(number), datagram);
+        }
+        node.tick(at(now));
+    }
+    assert_eq!(node.nodes_at_most(at(20_000)), 41.0);
+    for now in (20_000..70_000).step_by(100) {
+        node.tick(at(now));
+    }
+    assert_eq!(node.nodes_at_most(at(70_000)), 41.0, "cut off");
+    for now in (70_000..200_000).step_by(100) {
+        node.tick(at(now));
+    }
+    assert_eq!(node.nodes_at_most(at(200_000)), 1.0, "for good");
+}
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -4,6 +4,7 @@
 use super::sender::{LinkSender, SendOutcome};
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
+use bellyoke_core::cookie::cold::ColdLimiter;
 use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
 use bellyoke_core::cookie::health::{HealthChange, HealthSettings};
 use bellyoke_core::cookie::instance::Cookie;
@@ -22,6 +23,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -47,10 +49,11 @@
     socket: UdpSocket,
     codec: Codec,
     shared: Arc<Shared>,
+    cold: ColdLimiter,
 ) -> io::Result<JoinHandle<()>> {
     let builder = std::thread::Builder::new();
     let builder = builder.name(name).stack_size(STACK_LENGTH);
-    builder.spawn(move || TrafficThread::new(socket, codec, shared).run())
+    builder.spawn(move || TrafficThread::new(socket, codec, shared, cold).run())
 }
 
 struct TrafficThread<Codec> {
@@ -67,13 +70,13 @@
 }
 
 impl<Codec: PacketCodec> TrafficThread<Codec> {
-    fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>) -> Self {
+    fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>, cold: ColdLimiter) -> Self {
         let client_port = socket.local_addr().map_or(0, |address| address.port());
         Self {
             sender: LinkSender::new(socket),
             codec,
             shared,
-            forwarder: Forwarder::new(HealthSettings::default()),
+            forwarder: Forwarder::new(HealthSettings::default()).with_cold_limiter(cold),
             guard: BacklogGuard::default(),
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             next_review: Timestamp::ZERO,
@@ -229,6 +232,8 @@
         }
         self.next_review = now.after(REVIEW_INTERVAL);
         self.show_link(now);
+        let nodes = self.shared.nodes.load(Ordering::Relaxed);
+        self.forwarder.set_nodes(nodes as f64);
         let suspected = self.shared.peer_suspicions.load();
         self.forwarder.set_peer_suspicions(&suspected);
         self.log_health_changes(now, table);
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -28,6 +28,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -325,6 +326,8 @@
         effects.extend(self.exchange_suspicions(now));
         self.show_unreachable(now);
         self.note_duty(now);
+        let nodes = self.coordinator.nodes_at_most(now).ceil();
+        self.shared.nodes.store(nodes as u64, Ordering::Relaxed);
         self.show_state(now);
         effects
     }
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -6,6 +6,7 @@
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
+use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
 use std::net::SocketAddrV4;
@@ -50,10 +51,11 @@
         log_event(
             EventCode::ConfigurationAdopted,
             format_args!(
-                "version={} revision={} routes={} source={}",
+                "version={} revision={} routes={} cold_flows_per_minute=[{}] source={}",
                 configuration.version,
                 configuration.revision,
                 configuration.routes.len(),
+                cold_limits(configuration),
                 source.name()
             ),
         );
@@ -150,3 +152,11 @@
         metrics.confirmation_age_milliseconds.set(age);
     }
 }
+
+/// What cold instances of each service bear, as the configuration tells.
+fn cold_limits(configuration: &Configuration) -> String {
+    let limits = configuration.limits.iter();
+    let limits =
+        limits.map(|limits| format!("{}:{}", limits.service, limits.cold_flows_per_minute));
+    limits.collect::<Vec<_>>().join(",")
+}
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -13,6 +13,7 @@
 use anyhow::Context;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_api::result_code::ResultCode;
+use bellyoke_core::cookie::cold::ColdLimiter;
 use bellyoke_core::cookie::follower::FollowerSettings;
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::packet::PacketCodec;
@@ -156,7 +157,8 @@
     let data_address = settings.node.data_address;
     let data_socket = UdpSocket::bind(data_address)
         .with_context(|| format!("bind node.data_address {data_address}"))?;
-    start_traffic_thread("traffic-0".to_owned(), data_socket, codec, shared)
+    let cold = ColdLimiter::new(settings.cold.allowance(), rand::random());
+    start_traffic_thread("traffic-0".to_owned(), data_socket, codec, shared, cold)
         .context("start a traffic thread")?;
     follow_store(&link, &settings, &store);
     spawn_local(probe_instances(link.clone(), doubted));
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -1,8 +1,11 @@
 //! The settings of the daemon.
 
+use bellyoke_core::cookie::cold::ColdAllowance;
 use bellyoke_process::log::LogSettings;
 use bellyoke_process::settings::descriptor::DefaultValue::{Absent, Literal, Required};
-use bellyoke_process::settings::descriptor::{KeyDescriptor, Schema, ValueKind, integer, key};
+use bellyoke_process::settings::descriptor::{
+    KeyDescriptor, Schema, ValueKind, integer, key, number,
+};
 use bellyoke_process::settings::{self, Override, Problems};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -40,6 +43,10 @@
         "How soon a backend that drains must get no new flow; counts like `in_force_within_ms`."),
     key("timing", "zone_drained_within_ms", "ms", integer(100, 3_600_000), Absent,
         "How soon the instances of a zone that operators drain must get no new flow; counts like `in_force_within_ms`. Without it nodes don't ask which zones are drained."),
+    key("cold", "overshoot", "", number(0, 1_000), Absent,
+        "Factor to the flows that cold instances are said to bear, up to which all nodes together may open flows there. Without it and `slack` cold instances have no limit."),
+    key("cold", "slack", "flows/s", integer(0, 1_000_000), Literal("0"),
+        "Flows a second that cold instances may get beyond that."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -53,7 +60,7 @@
 };
 
 /// All settings of one process.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The node itself.
@@ -64,6 +71,8 @@
     pub store: StoreSettings,
     /// Periods and waits.
     pub timing: TimingSettings,
+    /// What cold instances may get.
+    pub cold: ColdSettings,
     /// The log.
     pub log: LogSettings,
 }
@@ -121,6 +130,26 @@
     pub zone_drained_within_ms: Option<u64>,
 }
 
+/// What cold instances may get.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdSettings {
+    /// Factor to the flows that they are said to bear; none for no limit.
+    pub overshoot: Option<f64>,
+    /// Flows a second beyond that.
+    pub slack: u32,
+}
+
+impl ColdSettings {
+    /// The limit, if there is one.
+    #[must_use]
+    pub fn allowance(&self) -> Option<ColdAllowance> {
+        let slack = self.slack;
+        let overshoot = self.overshoot?;
+        Some(ColdAllowance { overshoot, slack })
+    }
+}
+
 impl TimingSettings {
     /// How long gone instances are remembered: the longest life of a flow, and some more for
     /// packets under way.
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -28,6 +28,8 @@
     pub unreachable: ArcSwap<BTreeSet<Cookie>>,
     /// Those, and the ones that were unreachable a while ago: openings avoid them.
     pub avoided: ArcSwap<BTreeSet<Cookie>>,
+    /// How many nodes there are at most, for the traffic thread.
+    pub nodes: AtomicU64,
     /// Instances at which the traffic thread's openings completed a moment ago.
     pub sound: ArcSwap<Vec<Cookie>>,
     /// Where the traffic thread says which instances it doubts.
@@ -50,6 +52,7 @@
             failing: ArcSwap::default(),
             peer_suspicions: ArcSwap::default(),
             unreachable: ArcSwap::default(),
+            nodes: AtomicU64::new(u64::MAX),
             avoided: ArcSwap::default(),
             sound: ArcSwap::default(),
             doubts,
--- a/crates/bellyoke-process/src/settings/check.rs
+++ b/crates/bellyoke-process/src/settings/check.rs
@@ -17,6 +17,7 @@
 pub fn check_value(descriptor: &KeyDescriptor, value: &Value, problems: &mut Vec<Problem>) {
     let outcome = match descriptor.kind {
         ValueKind::Integer { least, greatest } => check_integer(value, least, greatest),
+        ValueKind::Number { least, greatest } => check_number(value, least, greatest),
         ValueKind::Switch => check_type(value.is_bool()),
         ValueKind::Choice(words) => check_text(value, |text| check_range(words.contains(&text))),
         ValueKind::Name => check_text(value, |text| check_range(is_name(text))),
@@ -52,6 +53,18 @@
     check_range((least..=greatest).contains(&number))
 }
 
+fn check_number(value: &Value, least: i64, greatest: i64) -> Result<(), ResultCode> {
+    #[expect(clippy::cast_precision_loss)]
+    let range = least as f64..=greatest as f64;
+    let number = match value {
+        Value::Float(number) => *number,
+        #[expect(clippy::cast_precision_loss)]
+        Value::Integer(number) => *number as f64,
+        _ => return Err(ResultCode::WrongType),
+    };
+    check_range(range.contains(&number))
+}
+
 fn check_type(matches: bool) -> Result<(), ResultCode> {
     matches.then_some(()).ok_or(ResultCode::WrongType)
 }
--- a/crates/bellyoke-process/src/settings/descriptor.rs
+++ b/crates/bellyoke-process/src/settings/descriptor.rs
@@ -12,6 +12,13 @@
         /// Greatest value.
         greatest: i64,
     },
+    /// A number within bounds, both inclusive; it may have a fraction.
+    Number {
+        /// Least value.
+        least: i64,
+        /// Greatest value.
+        greatest: i64,
+    },
     /// `true` or `false`.
     Switch,
     /// One of a few words.
@@ -38,6 +45,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Integer { least, greatest } => write!(formatter, "{least} to {greatest}"),
+            Self::Number { least, greatest } => {
+                write!(formatter, "{least} to {greatest}, fractions too")
+            }
             Self::Switch => formatter.write_str("true or false"),
             Self::Choice(words) => formatter.write_str(&words.join(" or ")),
             Self::Name => formatter.write_str("1 to 63 letters, digits, '-', '_' and '.'"),
@@ -129,6 +139,12 @@
     ValueKind::Integer { least, greatest }
 }
 
+/// A bounded number.
+#[must_use]
+pub const fn number(least: i64, greatest: i64) -> ValueKind {
+    ValueKind::Number { least, greatest }
+}
+
 /// All keys of one daemon's settings, in the order of the documentation.
 #[derive(Clone, Copy, Debug)]
 pub struct Schema {
--- a/crates/bellyoke-process/src/settings/flags.rs
+++ b/crates/bellyoke-process/src/settings/flags.rs
@@ -159,7 +159,9 @@
 fn override_value(descriptor: &KeyDescriptor, text: &str) -> Value {
     let string = || Value::String(text.to_owned());
     match descriptor.kind {
-        ValueKind::Integer { .. } | ValueKind::Switch => literal_value(text).unwrap_or_else(string),
+        ValueKind::Integer { .. } | ValueKind::Number { .. } | ValueKind::Switch => {
+            literal_value(text).unwrap_or_else(string)
+        }
         ValueKind::AddressList { .. } | ValueKind::PathList { .. } => text
             .split(',')
             .filter(|item| !item.is_empty())
