--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -3,26 +3,22 @@
 //! A host hands in what the store and peers say, does the effects, and publishes the forwarding
 //! table after each change.
 
-use crate::cookie::directory::KnownInstance;
+mod probing;
+
 use crate::cookie::exchange::{
-    DeltaMessage, Exchange, ExchangeEffect, FetchRequest, Heartbeat, PeerDatagram, Question,
-    StoreDuty,
+    DeltaMessage, Exchange, ExchangeEffect, FetchRequest, Heartbeat, PeerDatagram, StoreDuty,
 };
 use crate::cookie::follower::{Update, WatchPlan};
 use crate::cookie::freshness::ObjectKind;
-use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord, InstanceState};
-use crate::cookie::placement::mix;
-use crate::cookie::reachability::{
-    ATTEMPTS, ATTEMPTS_AGAIN, ATTEMPTS_FOR_PEERS, CONTROLS, Doubter, ProbeBatch, ProbeOutcome,
-    ReachabilityChange, ReachabilityMonitor,
-};
+use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use crate::cookie::reachability::ReachabilityMonitor;
 use crate::cookie::replica::{Replica, Snapshot, StateChange, Versions};
 use crate::cookie::revision::Revision;
 use crate::cookie::route::Configuration;
 use crate::cookie::stall::StallDetector;
 use crate::cookie::zones::{DrainedZone, ZoneEvent};
 use crate::time::Timestamp;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -257,80 +253,12 @@
         self.exchange.announce(now, self.replica.versions())
     }
 
-    /// Openings of this node at some instances came to nothing.
-    pub fn doubt(&mut self, now: Timestamp, cookies: &[Cookie]) {
-        for cookie in cookies {
-            self.reachability.question(now, *cookie, Doubter::Node);
-        }
-    }
-
-    /// The probe to begin now; none if no instance is in question. `sound` are instances at which
-    /// this node's openings completed a moment ago.
-    pub fn next_probe(&mut self, now: Timestamp, sound: &[Cookie]) -> Option<ProbeBatch> {
-        let mut due = self.reachability.questioned(Doubter::Node);
-        let mut attempts = ATTEMPTS;
-        if due.is_empty() {
-            due = self.reachability.questioned(Doubter::Peer);
-            attempts = ATTEMPTS_FOR_PEERS;
-        }
-        if due.is_empty() {
-            due = self.reachability.due_again(now);
-            attempts = ATTEMPTS_AGAIN;
-        }
-        let batch = (!due.is_empty()).then(|| self.probe_of(now, &due, sound));
-        batch.map(|batch| batch.with_attempts(attempts))
-    }
-
-    fn probe_of(&self, now: Timestamp, cookies: &[Cookie], sound: &[Cookie]) -> ProbeBatch {
-        let known = self.known_by_cookie();
-        let suspects = cookies.iter().filter_map(|cookie| {
-            let known = known.get(cookie)?;
-            Some((*cookie, known.record.address))
-        });
-        let controls = controls(now, &known, &self.reachability, sound);
-        ProbeBatch::new(suspects.collect(), controls)
-    }
-
-    fn known_by_cookie(&self) -> BTreeMap<Cookie, &KnownInstance> {
-        let known = self.replica.directory().instances();
-        known
-            .map(|known| (Cookie::of(known.record.id), known))
-            .collect()
-    }
-
-    /// A probe is over. Returns what changed, and what to tell peers.
-    pub fn probed(
-        &mut self,
-        now: Timestamp,
-        outcomes: &[(Cookie, ProbeOutcome)],
-    ) -> (Vec<ReachabilityChange>, Vec<ExchangeEffect>) {
-        let changes: Vec<ReachabilityChange> = outcomes
-            .iter()
-            .filter_map(|(cookie, outcome)| self.reachability.probed(now, *cookie, *outcome))
-            .collect();
-        let lost = changes.iter().filter(|change| change.unreachable);
-        let lost: Vec<Cookie> = lost.map(|change| change.cookie).collect();
-        (changes, self.exchange.ask_peers(&lost))
-    }
-
     /// How many nodes there are, rather too many than too few.
     #[must_use]
     pub fn nodes_at_most(&self, now: Timestamp) -> f64 {
         self.exchange.nodes_at_most(now)
     }
 
-    /// Instances that openings avoid: those that this node can't reach, or couldn't a while ago.
-    #[must_use]
-    pub fn avoided(&self, now: Timestamp) -> BTreeSet<Cookie> {
-        self.reachability.avoided(now)
-    }
-
-    /// Instances that this node can't reach.
-    #[must_use]
-    pub fn unreachable(&self, now: Timestamp) -> BTreeSet<Cookie> {
-        self.reachability.unreachable(now)
-    }
-
     /// Instances that peers suspect.
     #[must_use]
     pub fn peer_suspicions(&self) -> BTreeSet<Cookie> {
@@ -378,39 +306,6 @@
         }
     }
 
-    /// Tells the reachability monitor whose records have gone. It holds few instances mostly.
-    fn note_records(&mut self, now: Timestamp) {
-        if self.reachability.is_empty() {
-            return;
-        }
-        let known = self.replica.directory().instances();
-        let gone: BTreeMap<Cookie, bool> = known
-            .map(|known| (Cookie::of(known.record.id), known.gone_at.is_some()))
-            .collect();
-        self.reachability
-            .note_records(now, |cookie| gone.get(&cookie).copied());
-    }
-
-    /// A peer can't reach some instances: this node probes them too, and passes the question on.
-    fn question(&mut self, now: Timestamp, question: &Question) -> Outcome {
-        let directory = self.replica.directory();
-        let known: BTreeSet<Cookie> = directory
-            .instances()
-            .map(|known| Cookie::of(known.record.id))
-            .collect();
-        let cookies = question.cookies.iter();
-        let cookies = cookies.filter_map(|bits| Cookie::from_bits(*bits));
-        let news: Vec<Cookie> = cookies
-            .filter(|cookie| {
-                known.contains(cookie) && self.reachability.question(now, *cookie, Doubter::Peer)
-            })
-            .collect();
-        Outcome {
-            change: StateChange::default(),
-            effects: self.exchange.ask_peers(&news),
-        }
-    }
-
     fn delta(&mut self, now: Timestamp, from: SocketAddrV4, message: DeltaMessage) -> Outcome {
         let before = self.replica.versions();
         let change = self.replica.merge_delta(now, message.delta);
@@ -451,24 +346,3 @@
         }
     }
 }
-
-/// Instances that nothing speaks against, as controls of a probe: those that are known to be sound
-/// first. Which they are changes from probe to probe.
-fn controls(
-    now: Timestamp,
-    known: &BTreeMap<Cookie, &KnownInstance>,
-    reachability: &ReachabilityMonitor,
-    proven: &[Cookie],
-) -> Vec<SocketAddrV4> {
-    let sound = known.iter().filter(|(cookie, known)| {
-        let serves = known.gone_at.is_none() && known.record.state == InstanceState::Ready;
-        serves && known.warm_at <= now && !reachability.is_in_doubt(now, **cookie)
-    });
-    let mut sound: Vec<&KnownInstance> = sound.map(|(_, known)| *known).collect();
-    sound.sort_unstable_by_key(|known| {
-        let unproven = !proven.contains(&Cookie::of(known.record.id));
-        (unproven, mix(known.record.id.0 ^ now.as_micros()))
-    });
-    let chosen = sound.iter().take(CONTROLS);
-    chosen.map(|known| known.record.address).collect()
-}
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,6 +1,6 @@
 //! The decision for each packet.
 
-use crate::cookie::cold::ColdLimiter;
+use crate::cookie::cold::{ColdLimiter, ColdShare};
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
@@ -227,39 +227,9 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let candidates = table.candidates(part);
-        // All instances of a service bear the same.
-        let cold_flows = candidates.first();
-        let cold_flows = cold_flows.map_or(0, |candidate| candidate.cold_flows_per_minute);
-        let share = self.cold.share(cold_flows);
-        let cold = &self.cold;
-        let monitor = &self.monitor;
-        let is_avoided = |cookie| self.is_avoided(cookie);
-        let loads = &self.loads;
-        let chosen = choose_instance(
-            candidates,
-            flow_hash,
-            attempt,
-            |candidate| {
-                let is_cold = now < candidate.warm_at;
-                if is_cold && !cold.admits(now, candidate.id, share) {
-                    return None;
-                }
-                suitability(now, monitor, is_avoided, candidate)
-            },
-            |candidate| {
-                // A dead instance is idle too, but not therefore to be preferred.
-                if monitor.is_doubted(candidate.cookie) {
-                    f32::INFINITY
-                } else {
-                    loads.load(now, candidate.cookie)
-                }
-            },
-        );
-        let Some(chosen) = chosen else {
+        let Some((chosen, suitability)) = self.choose(now, candidates, flow_hash, attempt) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
-        let suitability = suitability(now, monitor, is_avoided, chosen);
-        let suitability = suitability.unwrap_or(Suitability::RecentlyGone);
         let destination = chosen.destination();
         if now < chosen.warm_at {
             self.cold.opened(now, chosen.id);
@@ -272,6 +242,57 @@
         }
     }
 
+    /// The instance for copy `attempt` of an opening, and what speaks for it; none if no candidate may
+    /// get the flow.
+    fn choose<'table>(
+        &mut self,
+        now: Timestamp,
+        candidates: &'table [Candidate],
+        flow_hash: u64,
+        attempt: u32,
+    ) -> Option<(&'table Candidate, Suitability)> {
+        // All instances of a service bear the same while they are cold.
+        let cold_flows = candidates.first()?.cold_flows_per_minute;
+        let share = self.cold.share(cold_flows);
+        let suitability = |candidate: &Candidate| self.suitability(now, candidate, share);
+        let load = |candidate: &Candidate| {
+            // A dead instance is idle too, but not therefore to be preferred.
+            if self.monitor.is_doubted(candidate.cookie) {
+                f32::INFINITY
+            } else {
+                self.loads.load(now, candidate.cookie)
+            }
+        };
+        let chosen = choose_instance(candidates, flow_hash, attempt, suitability, load)?;
+        Some((chosen, suitability(chosen)?))
+    }
+
+    /// How willing a candidate is to take a flow at `now`; none if it must not get one. `share` is this
+    /// node's part in what cold instances get.
+    fn suitability(
+        &self,
+        now: Timestamp,
+        candidate: &Candidate,
+        share: Option<ColdShare>,
+    ) -> Option<Suitability> {
+        let is_cold = now < candidate.warm_at;
+        if is_cold && !self.cold.admits(now, candidate.id, share) {
+            return None;
+        }
+        if let Some(gone_at) = candidate.gone_at {
+            return (now.since(gone_at) < RECENTLY_GONE).then_some(Suitability::RecentlyGone);
+        }
+        let cookie = candidate.cookie;
+        if self.is_avoided(cookie) || self.monitor.is_suspected(now, cookie) {
+            return Some(Suitability::Suspected);
+        }
+        Some(if is_cold {
+            Suitability::Cold
+        } else {
+            Suitability::Full
+        })
+    }
+
     /// Whether a packet repeats data to an instance that can't be reached and shows no life. That the
     /// client has to repeat it is the flow's own word that it doesn't go on: an instance that only
     /// takes no new connections still answers on its flows.
@@ -346,22 +367,3 @@
 fn life_key(cookie: Cookie) -> u64 {
     mix(u64::from(cookie.bits())) | 1
 }
-
-/// How willing a candidate is to take a flow at `now`; none if it must not get one.
-fn suitability(
-    now: Timestamp,
-    monitor: &OpeningMonitor,
-    is_avoided: impl Fn(Cookie) -> bool,
-    candidate: &Candidate,
-) -> Option<Suitability> {
-    if let Some(gone_at) = candidate.gone_at {
-        return (now.since(gone_at) < RECENTLY_GONE).then_some(Suitability::RecentlyGone);
-    }
-    if is_avoided(candidate.cookie) || monitor.is_suspected(now, candidate.cookie) {
-        return Some(Suitability::Suspected);
-    }
-    if now < candidate.warm_at {
-        return Some(Suitability::Cold);
-    }
-    Some(Suitability::Full)
-}
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -3,7 +3,7 @@
 use crate::support::{at, configuration, node, of_service, record};
 use bellyoke_core::cookie::exchange::{
     DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
-    MAXIMUM_HEARTBEAT_LENGTH, PeerDatagram, PeerKey, WatcherClaim, decode_snapshot,
+    MAXIMUM_HEARTBEAT_LENGTH, PeerDatagram, PeerKey, Question, WatcherClaim, decode_snapshot,
     encode_snapshot,
 };
 use bellyoke_core::cookie::instance::InstanceEvent;
@@ -45,6 +45,21 @@
     }
 }
 
+#[test]
+fn a_question_comes_back_as_it_was() {
+    let question = Question {
+        cookies: (0..Question::MAXIMUM_COOKIES as u32).collect(),
+    };
+    let key = PeerKey::new([7; 32]);
+    let bytes = question.encode(&key).unwrap();
+    assert_eq!(
+        PeerDatagram::decode(&bytes, &key),
+        Ok(PeerDatagram::Question(question))
+    );
+    let forged = PeerDatagram::decode(&bytes, &PeerKey::default());
+    assert_eq!(forged, Err(DecodeError::Tag));
+}
+
 #[test]
 fn a_snapshot_comes_back_as_it_was() {
     let mut replica = node(vec![record(1, 1), record(2, 2)]);
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -44,7 +44,7 @@
     key("timing", "zone_drained_within_ms", "ms", integer(100, 3_600_000), Absent,
         "How soon the instances of a zone that operators drain must get no new flow; counts like `in_force_within_ms`. Without it nodes don't ask which zones are drained."),
     key("cold", "overshoot", "", number(0, 1_000), Absent,
-        "Factor to the flows that cold instances are said to bear, up to which all nodes together may open flows there. Without it and `slack` cold instances have no limit."),
+        "Factor to the flows that cold instances are said to bear, up to which all nodes together may open flows there. Without it they have no limit, whatever `slack` says."),
     key("cold", "slack", "flows/s", integer(0, 1_000_000), Literal("0"),
         "Flows a second that cold instances may get beyond that."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
--- a/crates/bellyoke-node/tests/settings.rs
+++ b/crates/bellyoke-node/tests/settings.rs
@@ -146,3 +146,32 @@
     let Problems(problems) = parse_command_line(["--zone".into()]).unwrap_err();
     assert_eq!(problems[0].code, ResultCode::UnknownKey);
 }
+
+#[test]
+fn zones_are_read_only_where_they_may_be_drained() {
+    let settings = parse_settings(GOOD, &[]).unwrap();
+    assert!(!settings.timing.reads_zones());
+    let text = format!("{GOOD}[timing]\nzone_drained_within_ms = 1000\n");
+    let settings = parse_settings(&text, &[]).unwrap();
+    assert!(settings.timing.reads_zones());
+    assert_eq!(
+        settings.timing.freshness_bound(),
+        Duration::from_millis(500)
+    );
+}
+
+#[test]
+fn cold_instances_have_a_limit_only_where_one_is_set() {
+    let settings = parse_settings(GOOD, &[]).unwrap();
+    assert_eq!(settings.cold.allowance(), None);
+    for (overshoot, limit) in [("1.5", 20), ("2", 25)] {
+        let text = format!("{GOOD}[cold]\novershoot = {overshoot}\nslack = 5\n");
+        let settings = parse_settings(&text, &[]).unwrap();
+        let allowance = settings.cold.allowance().unwrap();
+        assert_eq!(allowance.limit(600), limit);
+    }
+    for wrong in ["-1", "1001.5", "\"much\""] {
+        let found = problems(&format!("{GOOD}[cold]\novershoot = {wrong}\n"));
+        assert_eq!(found[0].1, "cold.overshoot", "{wrong}");
+    }
+}
