--- a/crates/bellyoke-core/src/cookie/reachability.rs
+++ b/crates/bellyoke-core/src/cookie/reachability.rs
@@ -33,8 +33,8 @@
 /// Instances probed at once; further ones wait for the next probe.
 pub const MAXIMUM_SUSPECTS: usize = 64;
 
-/// How long a verdict holds. Less than the time for which a path must have been whole before anything
-/// that breaks a flow on it counts as this cluster's fault (the users' `contact`, 4 s at least).
+/// How long a verdict holds. Shorter than the 4 s for which the paths to an instance must have been whole
+/// before users count an ended flow as the balancer's fault, so that none outlives a cut by as much.
 pub const VERDICT_LIFETIME: Duration = Duration::from_millis(3_000);
 
 /// Time after which an unreachable instance is probed again, so that the verdict goes on or ends.
