Look up only the instances that were ever in question, not all, at each tick

With thousands of instances the two maps of all of them, ten times a second, would take half a percent of a core (worked out); nothing else changes.

--- a/crates/bellyoke-core/src/cookie/coordinator/probing.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator/probing.rs
@@ -85,30 +85,27 @@
 
     /// Tells the reachability monitor whose records have gone. It holds few instances mostly.
     pub(super) fn note_records(&mut self, now: Timestamp) {
-        if self.reachability.is_empty() {
+        let held = &self.reachability;
+        if held.is_empty() {
             return;
         }
         let known = self.replica.directory().instances();
-        let gone: BTreeMap<Cookie, bool> = known
-            .map(|known| (Cookie::of(known.record.id), known.gone_at.is_some()))
-            .collect();
+        let known = known.map(|known| (Cookie::of(known.record.id), known.gone_at.is_some()));
+        let gone: BTreeMap<Cookie, bool> =
+            known.filter(|(cookie, _)| held.holds(*cookie)).collect();
         self.reachability
             .note_records(now, |cookie| gone.get(&cookie).copied());
     }
 
     /// A peer can't reach some instances: this node probes them too, and passes the question on.
     pub(super) fn question(&mut self, now: Timestamp, question: &Question) -> Outcome {
-        let directory = self.replica.directory();
-        let known: BTreeSet<Cookie> = directory
-            .instances()
-            .map(|known| Cookie::of(known.record.id))
-            .collect();
-        let cookies = question.cookies.iter();
-        let cookies = cookies.filter_map(|bits| Cookie::from_bits(*bits));
-        let news: Vec<Cookie> = cookies
-            .filter(|cookie| {
-                known.contains(cookie) && self.reachability.question(now, *cookie, Doubter::Peer)
-            })
+        let asked = question.cookies.iter();
+        let asked: BTreeSet<Cookie> = asked.filter_map(|bits| Cookie::from_bits(*bits)).collect();
+        let known = self.replica.directory().instances();
+        let known = known.map(|known| Cookie::of(known.record.id));
+        let news: Vec<Cookie> = known
+            .filter(|cookie| asked.contains(cookie))
+            .filter(|cookie| self.reachability.question(now, *cookie, Doubter::Peer))
             .collect();
         Outcome {
             change: StateChange::default(),
--- a/crates/bellyoke-core/src/cookie/reachability.rs
+++ b/crates/bellyoke-core/src/cookie/reachability.rs
@@ -289,6 +289,12 @@
         })
     }
 
+    /// Whether an instance was ever in question.
+    #[must_use]
+    pub fn holds(&self, cookie: Cookie) -> bool {
+        self.states.contains_key(&cookie)
+    }
+
     /// Whether no instance was ever in question, of those still known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
