--- a/crates/bellyoke-core/benches/cookie.rs
+++ b/crates/bellyoke-core/benches/cookie.rs
@@ -10,7 +10,7 @@
 use bellyoke_core::cookie::packet::{FlowPacket, FlowTuple, PacketRole};
 use bellyoke_core::cookie::replica::Replica;
 use bellyoke_core::cookie::revision::Revision;
-use bellyoke_core::cookie::route::{Configuration, Route, WeightedService};
+use bellyoke_core::cookie::route::{Configuration, Route, RouteTerms, WeightedService};
 use bellyoke_core::cookie::table::ForwardingTable;
 use bellyoke_core::time::Timestamp;
 use std::collections::HashMap;
@@ -105,6 +105,8 @@
         role: PacketRole::Opening { attempt: 0 },
         cookie: None,
         data_sequence: None,
+        data_length: 0,
+        closes: false,
         acknowledged: 0,
     }
 }
@@ -116,6 +118,8 @@
         role: PacketRole::Later,
         cookie: Some(Cookie::of(instance_id(instance))),
         data_sequence: None,
+        data_length: 0,
+        closes: false,
         acknowledged: 0,
     }
 }
@@ -129,6 +133,8 @@
         zone: "zone".to_owned(),
         state: InstanceState::Ready,
         cold_remaining_milliseconds: 0,
+        created: None,
+        slots: 2,
     };
     let route = |service: u32| Route {
         address: service_address(service),
@@ -136,6 +142,7 @@
             service: format!("service-{service}"),
             weight: 1,
         }],
+        terms: RouteTerms::default(),
     };
     let mut replica = Replica::new(Duration::from_secs(70));
     replica.adopt_configuration(Configuration {
--- a/crates/bellyoke-core/examples/embed_cookie.rs
+++ b/crates/bellyoke-core/examples/embed_cookie.rs
@@ -7,7 +7,7 @@
 use bellyoke_core::cookie::packet::{Destination, FlowPacket, FlowTuple, PacketRole};
 use bellyoke_core::cookie::replica::Replica;
 use bellyoke_core::cookie::revision::Revision;
-use bellyoke_core::cookie::route::{Configuration, Route, WeightedService};
+use bellyoke_core::cookie::route::{Configuration, Route, RouteTerms, WeightedService};
 use bellyoke_core::time::Timestamp;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
@@ -25,6 +25,8 @@
         zone: "cork".to_owned(),
         state: InstanceState::Ready,
         cold_remaining_milliseconds: 0,
+        created: None,
+        slots: 2,
     }
 }
 
@@ -41,6 +43,7 @@
                 service: "till".to_owned(),
                 weight: 1,
             }],
+            terms: RouteTerms::default(),
         }],
         limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
@@ -57,6 +60,8 @@
         role: PacketRole::Opening { attempt: 0 },
         cookie: None,
         data_sequence: None,
+        data_length: 0,
+        closes: false,
         acknowledged: 0,
     };
     let placed = destination(forwarder.decide(now, &replica.table(), &packet, false));
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 
 /// Version of the peer protocol of nodes that forward by cookie.
-const PROTOCOL_VERSION: u8 = 5;
+const PROTOCOL_VERSION: u8 = 6;
 
 /// Kind byte of a heartbeat.
 const HEARTBEAT_KIND: u8 = 1;
--- a/crates/bellyoke-core/src/cookie/exchange/packed.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/packed.rs
@@ -1,7 +1,7 @@
 //! The compact form in which snapshots travel.
 //!
 //! A snapshot repeats a few names again and again: each route its service, each instance its
-//! service and zone. Here each name and each list of services stands once, and records refer to it
+//! service and zone. Here each name and each kind of route stands once, and records refer to it
 //! by number. 1,881 routes and 46 instances take 17 kB instead of 138 kB, which matters where a
 //! machine's link is thin and many nodes start at once.
 
@@ -11,7 +11,7 @@
 use crate::cookie::instance::{InstanceId, InstanceRecord, InstanceState};
 use crate::cookie::replica::{DirectoryPart, DirectorySnapshot, Snapshot, Versions};
 use crate::cookie::revision::Revision;
-use crate::cookie::route::{Configuration, Route, ServiceLimits, WeightedService};
+use crate::cookie::route::{Configuration, Route, RouteTerms, ServiceLimits, WeightedService};
 use crate::cookie::zones::ZoneSnapshot;
 use rkyv::{Archive, Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -34,8 +34,8 @@
     revision: Revision,
     version: u64,
     idle_timeout_milliseconds: u32,
-    /// The lists of services that routes have.
-    service_lists: Vec<Vec<PackedShare>>,
+    /// What routes have besides their addresses: a few are like many others.
+    kinds: Vec<PackedKind>,
     routes: Vec<PackedRoute>,
     limits: Vec<ServiceLimits>,
 }
@@ -48,12 +48,19 @@
     service: u16,
 }
 
+/// What several routes have in common.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
+struct PackedKind {
+    services: Vec<PackedShare>,
+    terms: RouteTerms,
+}
+
 #[derive(Debug, Archive, Serialize, Deserialize)]
 struct PackedRoute {
     ip: [u8; 4],
     port: u16,
-    /// Number of its list of services.
-    services: u16,
+    /// Number of its kind.
+    kind: u16,
 }
 
 #[derive(Debug, Archive, Serialize, Deserialize)]
@@ -75,6 +82,9 @@
     id: InstanceId,
     revision: Revision,
     cold_remaining_milliseconds: u32,
+    /// Zero if it isn't told.
+    created: Revision,
+    slots: u32,
     ip: [u8; 4],
     port: u16,
     /// Number of its service's name.
@@ -177,7 +187,7 @@
     names: &mut Numbering<String>,
     configuration: &Configuration,
 ) -> Result<PackedConfiguration, EncodeError> {
-    let mut service_lists = Numbering::default();
+    let mut kinds = Numbering::default();
     let mut routes = Vec::with_capacity(configuration.routes.len());
     for route in &configuration.routes {
         let mut shares = Vec::with_capacity(route.services.len());
@@ -191,14 +201,17 @@
         routes.push(PackedRoute {
             ip: route.address.ip().octets(),
             port: route.address.port(),
-            services: service_lists.insert(shares)?,
+            kind: kinds.insert(PackedKind {
+                services: shares,
+                terms: route.terms,
+            })?,
         });
     }
     Ok(PackedConfiguration {
         revision: configuration.revision,
         version: configuration.version,
         idle_timeout_milliseconds: configuration.idle_timeout_milliseconds,
-        service_lists: service_lists.into_values(),
+        kinds: kinds.into_values(),
         routes,
         limits: configuration.limits.clone(),
     })
@@ -208,16 +221,19 @@
     names: &[String],
     packed: PackedConfiguration,
 ) -> Result<Configuration, DecodeError> {
-    let mut service_lists = Vec::with_capacity(packed.service_lists.len());
-    for shares in packed.service_lists {
-        let shares = shares.into_iter().map(|share| unpack_share(names, share));
-        service_lists.push(shares.collect::<Result<Vec<_>, _>>()?);
+    let mut kinds = Vec::with_capacity(packed.kinds.len());
+    for kind in packed.kinds {
+        let shares = kind.services.into_iter();
+        let shares = shares.map(|share| unpack_share(names, share));
+        kinds.push((shares.collect::<Result<Vec<_>, _>>()?, kind.terms));
     }
     let mut routes = Vec::with_capacity(packed.routes.len());
     for route in packed.routes {
+        let (services, terms) = resolve(&kinds, route.kind)?;
         routes.push(Route {
             address: SocketAddrV4::new(Ipv4Addr::from(route.ip), route.port),
-            services: resolve(&service_lists, route.services)?,
+            services,
+            terms,
         });
     }
     Ok(Configuration {
@@ -301,6 +317,8 @@
         id: record.id,
         revision: record.revision,
         cold_remaining_milliseconds: record.cold_remaining_milliseconds,
+        created: record.created.unwrap_or_default(),
+        slots: record.slots,
         ip: record.address.ip().octets(),
         port: record.address.port(),
         service: names.name(&record.service)?,
@@ -318,6 +336,8 @@
         zone: resolve(names, packed.zone)?,
         state: packed.state,
         cold_remaining_milliseconds: packed.cold_remaining_milliseconds,
+        created: (packed.created != Revision::default()).then_some(packed.created),
+        slots: packed.slots,
     })
 }
 
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -220,10 +220,10 @@
             return Decision::Drop(DropReason::NotReady);
         }
         let flow_hash = packet.flow.hash();
-        let Some(parts) = table.route(packet.flow.service) else {
+        let Some(route) = table.route(packet.flow.service) else {
             return Decision::Refuse(RefusalReason::NoRoute);
         };
-        let Some(part) = choose_part(parts, flow_hash) else {
+        let Some(part) = choose_part(&route.parts, flow_hash) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let candidates = table.candidates(part);
--- a/crates/bellyoke-core/src/cookie/instance.rs
+++ b/crates/bellyoke-core/src/cookie/instance.rs
@@ -74,6 +74,11 @@
     pub state: InstanceState,
     /// How much longer it works slowly after its start, milliseconds, when the record was read.
     pub cold_remaining_milliseconds: u32,
+    /// When the record was created, as the store counts; all nodes read the same. A record that lapsed
+    /// and came back was created again. None if the store doesn't tell.
+    pub created: Option<Revision>,
+    /// Requests that it works on at once; zero if that isn't told.
+    pub slots: u32,
 }
 
 /// One change of an instance's record.
--- a/crates/bellyoke-core/src/cookie/packet.rs
+++ b/crates/bellyoke-core/src/cookie/packet.rs
@@ -54,6 +54,10 @@
     pub cookie: Option<Cookie>,
     /// Sequence number of its first byte of data; none without data.
     pub data_sequence: Option<u32>,
+    /// Bytes of data.
+    pub data_length: u16,
+    /// Whether its sender sends nothing after it.
+    pub closes: bool,
     /// What it acknowledges of the instance's data. Means nothing in an opening.
     pub acknowledged: u32,
 }
@@ -98,6 +102,10 @@
 
     /// The reset that answers `packet`, a client's packet that [`Self::parse`] has read.
     fn reset(&self, packet: &[u8]) -> Vec<u8>;
+
+    /// The reset that ends an open flow from which nothing has just come. `acknowledged` is what its client
+    /// acknowledged last.
+    fn reset_flow(&self, flow: &FlowTuple, acknowledged: u32) -> Vec<u8>;
 }
 
 /// The instance that a packet goes to.
--- a/crates/bellyoke-core/src/cookie/route.rs
+++ b/crates/bellyoke-core/src/cookie/route.rs
@@ -14,6 +14,45 @@
     pub weight: u32,
 }
 
+/// What may be done with a request a second time.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize,
+)]
+pub enum RequestKind {
+    /// It may run again.
+    Idempotent,
+    /// It may run again; its answer is bulk data.
+    Download,
+    /// It must run once at most; it brings bulk data.
+    Upload,
+    /// It must run once at most. The default, since it permits least.
+    #[default]
+    NonIdempotent,
+}
+
+impl RequestKind {
+    /// Whether a request that may have run can be sent again.
+    #[must_use]
+    pub const fn may_repeat(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Download)
+    }
+}
+
+/// What the operators say of the requests on a route.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize,
+)]
+pub struct RouteTerms {
+    /// What may be done with them.
+    pub kind: RequestKind,
+    /// Rank among the requests of a service; 0 goes first.
+    pub priority: u8,
+    /// How soon an answer is wanted, milliseconds; zero if that isn't told.
+    pub aim_milliseconds: u32,
+    /// After how long an answer is of no use, milliseconds; zero if that isn't told.
+    pub timeout_milliseconds: u32,
+}
+
 /// Where the new flows to one address and port go.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Route {
@@ -21,6 +60,8 @@
     pub address: SocketAddrV4,
     /// The services and their weights.
     pub services: Vec<WeightedService>,
+    /// What its requests are like.
+    pub terms: RouteTerms,
 }
 
 /// How a service's instances work while they are cold: for some seconds after their start, or after
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -4,7 +4,7 @@
 use crate::cookie::instance::{Cookie, InstanceId, InstanceState};
 use crate::cookie::packet::Destination;
 use crate::cookie::revision::Revision;
-use crate::cookie::route::{Configuration, Route, ServiceLimits};
+use crate::cookie::route::{Configuration, Route, RouteTerms, ServiceLimits};
 use crate::cookie::zones::ZoneDrains;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +26,10 @@
     pub gone_at: Option<Timestamp>,
     /// Flows that it bears in a minute while it is cold; zero if that isn't told.
     pub cold_flows_per_minute: u32,
+    /// Requests that it works on at once; zero if that isn't told.
+    pub slots: u32,
+    /// Its zone.
+    pub zone: ZoneNumber,
 }
 
 impl Candidate {
@@ -40,24 +44,47 @@
     }
 }
 
+/// A service, numbered within one table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceNumber(pub u32);
+
+/// A zone, numbered within one table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneNumber(pub u16);
+
 /// A service's part in a route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServicePart {
     /// Weight among the route's parts.
     pub weight: u32,
-    /// Index of the service's candidates.
-    service: usize,
+    /// The service.
+    pub service: ServiceNumber,
+}
+
+/// Where the new flows to an address go, and what their requests are like.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableRoute {
+    /// The services and their weights.
+    pub parts: Vec<ServicePart>,
+    /// What the requests are like.
+    pub terms: RouteTerms,
 }
 
 /// What a node's traffic threads forward by: one version of the routes and of the instances.
 #[derive(Debug, Default)]
 pub struct ForwardingTable {
     /// Sorted by address.
-    routes: Vec<(SocketAddrV4, Vec<ServicePart>)>,
-    /// Candidates by service index.
+    routes: Vec<(SocketAddrV4, TableRoute)>,
+    /// Candidates by service number.
     candidates: Vec<Vec<Candidate>>,
     /// Sorted by cookie.
     destinations: Vec<(Cookie, Destination)>,
+    /// By service number, for each service that a route names.
+    services: Vec<String>,
+    /// By zone number, for each zone that an instance stands in.
+    zones: Vec<String>,
+    /// The services of the instances that belong to one of them, sorted by cookie.
+    service_of: Vec<(Cookie, ServiceNumber)>,
     /// Cookies of instances whose address another one has taken over, ascending.
     superseded: Vec<Cookie>,
     configuration_version: u64,
@@ -92,9 +119,14 @@
         let mut routes: Vec<_> = routes.iter().map(|route| services.resolve(route)).collect();
         routes.sort_unstable_by_key(|(address, _)| *address);
         routes.dedup_by_key(|(address, _)| *address);
+        let zone_names = zone_names(directory);
+        let candidates = services.candidates(directory, zones, &zone_names, &destinations, &ended);
         Self {
             routes,
-            candidates: services.candidates(directory, zones, &destinations, &ended),
+            candidates,
+            service_of: services.of_instances(directory),
+            services: services.names(),
+            zones: zone_names,
             destinations,
             superseded,
             configuration_version: configuration.map_or(0, |held| held.version),
@@ -105,19 +137,40 @@
         }
     }
 
-    /// The parts of the route of an address; none without such a route.
+    /// The route of an address; none without such a route.
     #[must_use]
-    pub fn route(&self, address: SocketAddrV4) -> Option<&[ServicePart]> {
+    pub fn route(&self, address: SocketAddrV4) -> Option<&TableRoute> {
         let found = self
             .routes
             .binary_search_by_key(&address, |(address, _)| *address);
-        found.ok().map(|index| &self.routes[index].1[..])
+        found.ok().map(|index| &self.routes[index].1)
     }
 
     /// The instances that may take new flows of a part.
     #[must_use]
     pub fn candidates(&self, part: &ServicePart) -> &[Candidate] {
-        &self.candidates[part.service]
+        usize::try_from(part.service.0).map_or(&[], |number| &self.candidates[number])
+    }
+
+    /// The service of an instance; none if no route names it, or the instance isn't remembered.
+    #[must_use]
+    pub fn service_of(&self, cookie: Cookie) -> Option<ServiceNumber> {
+        let found = self
+            .service_of
+            .binary_search_by_key(&cookie, |(cookie, _)| *cookie);
+        found.ok().map(|index| self.service_of[index].1)
+    }
+
+    /// Names of the services that routes name, by their numbers.
+    #[must_use]
+    pub fn services(&self) -> &[String] {
+        &self.services
+    }
+
+    /// Names of the zones that instances stand in, by their numbers.
+    #[must_use]
+    pub fn zones(&self) -> &[String] {
+        &self.zones
     }
 
     /// Where packets with this cookie go; none if no such instance is remembered.
@@ -203,32 +256,67 @@
     known.warm_at.max(restoration.at.after(cold))
 }
 
+/// Names of all zones that instances stand in, in their order.
+fn zone_names(directory: &Directory) -> Vec<String> {
+    let zones = directory.instances().map(|known| &known.record.zone);
+    let zones: BTreeSet<&String> = zones.collect();
+    zones.into_iter().cloned().collect()
+}
+
+fn zone_number(names: &[String], zone: &str) -> ZoneNumber {
+    let number = names.iter().position(|name| name == zone);
+    ZoneNumber(u16::try_from(number.unwrap_or_default()).unwrap_or(u16::MAX))
+}
+
 /// Services that routes name, numbered as they come.
 #[derive(Default)]
 struct ServiceIndexes<'configuration> {
-    indexes: BTreeMap<&'configuration str, usize>,
+    indexes: BTreeMap<&'configuration str, ServiceNumber>,
     /// What they bear, as far as the configuration tells.
     limits: BTreeMap<&'configuration str, &'configuration ServiceLimits>,
 }
 
 impl<'configuration> ServiceIndexes<'configuration> {
-    fn resolve(&mut self, route: &'configuration Route) -> (SocketAddrV4, Vec<ServicePart>) {
+    fn resolve(&mut self, route: &'configuration Route) -> (SocketAddrV4, TableRoute) {
         let mut parts = Vec::with_capacity(route.services.len());
         for weighted in &route.services {
-            let next = self.indexes.len();
+            let next = ServiceNumber(u32::try_from(self.indexes.len()).unwrap_or(u32::MAX));
             let service = *self.indexes.entry(&weighted.service).or_insert(next);
             parts.push(ServicePart {
                 weight: weighted.weight,
                 service,
             });
         }
-        (route.address, parts)
+        let terms = route.terms;
+        (route.address, TableRoute { parts, terms })
+    }
+
+    fn names(&self) -> Vec<String> {
+        let mut numbered: Vec<_> = self.indexes.iter().collect();
+        numbered.sort_unstable_by_key(|(_, number)| **number);
+        numbered
+            .into_iter()
+            .map(|(name, _)| (*name).to_owned())
+            .collect()
+    }
+
+    /// The services of all instances that a route's service has, by cookie.
+    fn of_instances(&self, directory: &Directory) -> Vec<(Cookie, ServiceNumber)> {
+        let instances = directory.instances().filter_map(|known| {
+            let service = self.indexes.get(&known.record.service[..])?;
+            Some((Cookie::of(known.record.id), *service))
+        });
+        let mut services: Vec<_> = instances.collect();
+        services.sort_unstable_by_key(|(cookie, _)| *cookie);
+        services.dedup_by_key(|(cookie, _)| *cookie);
+        services
     }
 
     fn candidates(
         &self,
         directory: &Directory,
         zones: &ZoneDrains,
+        zone_names: &[String],
         destinations: &[(Cookie, Destination)],
         ended: &BTreeSet<InstanceId>,
     ) -> Vec<Vec<Candidate>> {
@@ -248,13 +336,18 @@
                 continue;
             }
             let limits = self.limits.get(&record.service[..]).copied();
-            candidates[service].push(Candidate {
+            let Some(candidates) = candidates.get_mut(service.0 as usize) else {
+                continue;
+            };
+            candidates.push(Candidate {
                 id: record.id,
                 cookie: Cookie::of(record.id),
                 address: record.address,
                 warm_at: warm_at(known, zones, limits),
                 gone_at: known.gone_at,
                 cold_flows_per_minute: limits.map_or(0, |limits| limits.cold_flows_per_minute),
+                slots: record.slots,
+                zone: zone_number(zone_names, &record.zone),
             });
         }
         candidates
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod ended_instances;
 mod exchange;
+mod flows;
 mod follower;
 mod forwarder;
 mod health;
--- a/crates/bellyoke-core/tests/cookie/placement.rs
+++ b/crates/bellyoke-core/tests/cookie/placement.rs
@@ -11,8 +11,8 @@
 const FLOWS: u32 = 20_000;
 
 fn candidates(table: &ForwardingTable) -> &[Candidate] {
-    let parts = table.route(crate::support::SERVICE).unwrap();
-    table.candidates(&parts[0])
+    let route = table.route(crate::support::SERVICE).unwrap();
+    table.candidates(&route.parts[0])
 }
 
 fn choose(table: &ForwardingTable, number: u32, attempt: u32) -> Option<InstanceId> {
@@ -49,7 +49,7 @@
         &[("till", 90), ("listings", 10), ("none", 0)],
     ));
     let table = replica.table();
-    let parts = table.route(crate::support::SERVICE).unwrap();
+    let parts = &table.route(crate::support::SERVICE).unwrap().parts;
     let listings = (0..FLOWS)
         .filter(|number| choose_part(parts, flow(*number).hash()).unwrap().weight == 10)
         .count();
@@ -62,7 +62,7 @@
     let mut replica = node(vec![record(1, 1)]);
     replica.adopt_configuration(configuration(2, &[("till", 0)]));
     let table = replica.table();
-    let parts = table.route(crate::support::SERVICE).unwrap();
+    let parts = &table.route(crate::support::SERVICE).unwrap().parts;
     assert_eq!(choose_part(parts, 7), None);
 }
 
--- a/crates/bellyoke-core/tests/cookie/support.rs
+++ b/crates/bellyoke-core/tests/cookie/support.rs
@@ -4,7 +4,7 @@
 use bellyoke_core::cookie::packet::{FlowPacket, FlowTuple, PacketRole};
 use bellyoke_core::cookie::replica::Replica;
 use bellyoke_core::cookie::revision::Revision;
-use bellyoke_core::cookie::route::{Configuration, Route, WeightedService};
+use bellyoke_core::cookie::route::{Configuration, Route, RouteTerms, WeightedService};
 use bellyoke_core::time::Timestamp;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
@@ -26,6 +26,8 @@
         zone: "cork".to_owned(),
         state: InstanceState::Ready,
         cold_remaining_milliseconds: 0,
+        created: Some(Revision(revision)),
+        slots: 2,
     }
 }
 
@@ -54,6 +56,7 @@
         routes: vec![Route {
             address: SERVICE,
             services: services.collect(),
+            terms: RouteTerms::default(),
         }],
         limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
@@ -82,6 +85,8 @@
         role: PacketRole::Opening { attempt },
         cookie: None,
         data_sequence: None,
+        data_length: 0,
+        closes: false,
         acknowledged: 0,
     }
 }
@@ -92,6 +97,8 @@
         role: PacketRole::Later,
         cookie: Some(cookie),
         data_sequence: None,
+        data_length: 0,
+        closes: false,
         acknowledged: 0,
     }
 }
--- a/crates/bellyoke-lab/src/cookie/packet.rs
+++ b/crates/bellyoke-lab/src/cookie/packet.rs
@@ -72,6 +72,8 @@
             role,
             cookie: Cookie::from_bits(self.echo),
             data_sequence: (!self.data.is_empty()).then_some(self.sequence),
+            data_length: u16::try_from(self.data.len()).unwrap_or(u16::MAX),
+            closes: self.flags.fin,
             acknowledged: self.acknowledged,
         })
     }
--- a/crates/bellyoke-lab/src/cookie/target.rs
+++ b/crates/bellyoke-lab/src/cookie/target.rs
@@ -60,6 +60,8 @@
             zone,
             state: InstanceState::Ready,
             cold_remaining_milliseconds: 0,
+            created: None,
+            slots: u32::try_from(self.slots).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -27,6 +27,14 @@
         "TCP address of `/readyz`, by which routers choose nodes, and of `/metrics`."),
     key("node", "metrics_address", "", ValueKind::Address, Absent,
         "TCP address of `/metrics` alone, where that is not to be asked at `ready_address`."),
+    key("machine", "cpu_share", "cores", number(0, 1_024), Absent,
+        "Processor time that the machine gives, in cores; a fraction of one if it shares one. Duties for the whole cluster go to larger machines first; what isn't told counts as little."),
+    key("machine", "memory_mb", "MB", integer(1, 16_777_216), Absent,
+        "Memory of the machine."),
+    key("machine", "link_mbps", "Mbit/s", number(0, 1_000_000), Absent,
+        "What the machine's link carries."),
+    key("machine", "descriptors", "", integer(1, 16_777_216), Absent,
+        "File descriptors that the process may hold."),
     key("cluster", "seeds", "", ValueKind::AddressList { most: 64 }, Literal("[]"),
         "Some nodes to start from. Only the hosts count: the port is that of `node.peer_address`."),
     key("store", "address", "", ValueKind::Address, Required,
@@ -65,6 +73,8 @@
 pub struct Settings {
     /// The node itself.
     pub node: NodeSettings,
+    /// What its machine has.
+    pub machine: MachineSettings,
     /// Its peers.
     pub cluster: ClusterSettings,
     /// The store.
@@ -95,6 +105,20 @@
     pub metrics_address: Option<SocketAddrV4>,
 }
 
+/// What the node's machine has, as far as that is told.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MachineSettings {
+    /// Processor time, cores.
+    pub cpu_share: Option<f64>,
+    /// Memory, MB.
+    pub memory_mb: Option<u64>,
+    /// What the link carries, Mbit/s.
+    pub link_mbps: Option<f64>,
+    /// File descriptors.
+    pub descriptors: Option<u64>,
+}
+
 /// The node's peers.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
