Tell the order of two instances at one address by the store's creations

Cause: `Directory::superseded` went by each node's own first sight. A node that had just restarted, or met the dead predecessor last (by a tombstone whose record went after its successor came, by a late write, by a write and a removal in one answer), took the live instance for the ended one and reset its open flows.

An instance is ended if a later-created one is present at its address and its own record has gone; while both are there it takes no new flow and keeps its open ones. Unknown creations end nobody; TAKEOVER_MARGIN is gone. Probes of an address that passed on tell nothing of the earlier instance; one held unreachable then is settled. Two ids that fold to one cookie: the first created has it.

Ruled out: the revision of the last change (a late write turns it round); the later creation alone (a late write is created late).

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -236,11 +236,13 @@
         if stalled.is_some() {
             self.reachability.stalled();
         }
-        self.note_records(now);
         let change = StateChange {
             directory: self.replica.expire(now),
             ..StateChange::default()
         };
+        if change.directory {
+            self.note_records(now);
+        }
         let replica = &self.replica;
         let behind = |versions| replica.is_behind(versions);
         let effects = self.exchange.tick(now, replica.versions(), behind);
@@ -330,6 +332,9 @@
     }
 
     fn changed(&mut self, now: Timestamp, before: Versions, change: StateChange) -> Outcome {
+        if change.directory {
+            self.note_records(now);
+        }
         let effects = if change.any() {
             let own = self.replica.versions();
             self.exchange.changed(now, before, own)
--- a/crates/bellyoke-core/src/cookie/coordinator/probing.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator/probing.rs
@@ -7,7 +7,7 @@
 use crate::cookie::placement::mix;
 use crate::cookie::reachability::{
     ATTEMPTS, ATTEMPTS_AGAIN, ATTEMPTS_FOR_PEERS, CONTROLS, Doubter, ProbeBatch, ProbeOutcome,
-    ReachabilityChange, ReachabilityMonitor,
+    ReachabilityChange, ReachabilityMonitor, RecordState,
 };
 use crate::cookie::replica::StateChange;
 use crate::time::Timestamp;
@@ -20,6 +20,7 @@
         for cookie in cookies {
             self.reachability.question(now, *cookie, Doubter::Node);
         }
+        self.note_records(now);
     }
 
     /// The probe to begin now; none if no instance is in question. `sound` are instances at which
@@ -62,10 +63,12 @@
         now: Timestamp,
         outcomes: &[(Cookie, ProbeOutcome)],
     ) -> (Vec<ReachabilityChange>, Vec<ExchangeEffect>) {
+        self.note_records(now);
         let changes: Vec<ReachabilityChange> = outcomes
             .iter()
             .filter_map(|(cookie, outcome)| self.reachability.probed(now, *cookie, *outcome))
             .collect();
+        self.note_records(now);
         let lost = changes.iter().filter(|change| change.unreachable);
         let lost: Vec<Cookie> = lost.map(|change| change.cookie).collect();
         (changes, self.exchange.ask_peers(&lost))
@@ -83,18 +86,28 @@
         self.reachability.unreachable(now)
     }
 
-    /// Tells the reachability monitor whose records have gone. It holds few instances mostly.
+    /// Tells the reachability monitor whose records have gone, or whose addresses passed on. It holds few instances mostly.
     pub(super) fn note_records(&mut self, now: Timestamp) {
         let held = &self.reachability;
         if held.is_empty() {
             return;
         }
-        let known = self.replica.directory().instances();
-        let known = known.map(|known| (Cookie::of(known.record.id), known.gone_at.is_some()));
-        let gone: BTreeMap<Cookie, bool> =
-            known.filter(|(cookie, _)| held.holds(*cookie)).collect();
+        let directory = self.replica.directory();
+        let succeeded = directory.succeeded();
+        let held = directory.instances().filter_map(|known| {
+            let cookie = Cookie::of(known.record.id);
+            let state = if succeeded.contains(&known.record.id) {
+                RecordState::Succeeded
+            } else if known.gone_at.is_some() {
+                RecordState::Gone
+            } else {
+                RecordState::Present
+            };
+            held.holds(cookie).then_some((cookie, state))
+        });
+        let states: BTreeMap<Cookie, RecordState> = held.collect();
         self.reachability
-            .note_records(now, |cookie| gone.get(&cookie).copied());
+            .note_records(now, |cookie| states.get(&cookie).copied());
     }
 
     /// A peer can't reach some instances: this node probes them too, and passes the question on.
@@ -107,6 +120,7 @@
             .filter(|cookie| asked.contains(cookie))
             .filter(|cookie| self.reachability.question(now, *cookie, Doubter::Peer))
             .collect();
+        self.note_records(now);
         Outcome {
             change: StateChange::default(),
             effects: self.exchange.ask_peers(&news),
--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -16,17 +16,11 @@
 /// service.
 pub const MAXIMUM_TOMBSTONES: usize = 65_536;
 
-/// An address that another instance has taken over at least so long after this node heard of the
-/// first one has passed on. Records that came together, as in a first list, tell no order.
-const TAKEOVER_MARGIN: Duration = Duration::from_millis(500);
-
 /// An instance, present or gone, and what the node has noted about it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownInstance {
-    /// Its record as last read.
+    /// Its record as last read, but for its creation: the first one ever heard of, also across lapses.
     pub record: InstanceRecord,
-    /// When this node first heard of it.
-    pub first_seen: Timestamp,
     /// From when on it works at full speed.
     pub warm_at: Timestamp,
     /// When its record went, if it has.
@@ -46,6 +40,15 @@
     pub revision: Revision,
 }
 
+/// When the record of an instance was first created, for peers that may know only a later creation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct FirstCreation {
+    /// The instance.
+    pub id: InstanceId,
+    /// The smallest creation known.
+    pub created: Revision,
+}
+
 /// All instances that a node knows.
 #[derive(Debug)]
 pub struct Directory {
@@ -87,30 +90,84 @@
         self.known.values()
     }
 
-    /// Instances that have ended for certain: another one was seen later at their address, and two
-    /// that run never share one. A late write of a record changes nothing, since it is the first
-    /// sight of an instance that counts.
+    /// Instances at whose address another one is present that was created later. What answers there is
+    /// the later one, so that they take no new flow. The store counts creations, and all nodes read
+    /// the same count; where one isn't known, nothing is told of either instance.
+    #[must_use]
+    pub fn succeeded(&self) -> BTreeSet<InstanceId> {
+        let mut latest: BTreeMap<SocketAddrV4, Revision> = BTreeMap::new();
+        let present = self.known.values().filter(|known| known.gone_at.is_none());
+        for record in present.map(|known| &known.record) {
+            let Some(created) = record.created else {
+                continue;
+            };
+            let held = latest.entry(record.address).or_insert(created);
+            *held = created.max(*held);
+        }
+        let records = self.known.values().map(|known| &known.record);
+        let succeeded = records.filter(|record| {
+            let later = latest.get(&record.address).zip(record.created);
+            later.is_some_and(|(latest, created)| *latest > created)
+        });
+        succeeded.map(|record| record.id).collect()
+    }
+
+    /// Instances that have ended for certain: their records have gone, and another one that was
+    /// created later is present at their address. Two that run never share one.
     #[must_use]
     pub fn superseded(&self) -> BTreeSet<InstanceId> {
-        let mut latest: BTreeMap<SocketAddrV4, Timestamp> = BTreeMap::new();
+        let mut ended = self.succeeded();
+        let is_gone = |id: &InstanceId| {
+            self.known
+                .get(id)
+                .is_some_and(|known| known.gone_at.is_some())
+        };
+        ended.retain(is_gone);
+        ended
+    }
+
+    /// The first creations of present instances that share their address with another one: a peer that
+    /// has heard of them only since may take them for the later ones.
+    #[must_use]
+    pub fn first_creations(&self) -> Vec<FirstCreation> {
+        let mut holders: BTreeMap<SocketAddrV4, usize> = BTreeMap::new();
         for known in self.known.values() {
-            let seen = latest
-                .entry(known.record.address)
-                .or_insert(known.first_seen);
-            *seen = known.first_seen.max(*seen);
+            *holders.entry(known.record.address).or_default() += 1;
         }
-        let ended = self.known.values().filter(|known| {
-            let latest = latest.get(&known.record.address);
-            latest.is_some_and(|latest| latest.since(known.first_seen) >= TAKEOVER_MARGIN)
+        let present = self.known.values().filter(|known| known.gone_at.is_none());
+        let shared = present.filter(|known| holders[&known.record.address] > 1);
+        let creations = shared.filter_map(|known| {
+            let created = known.record.created?;
+            (created < known.record.revision).then_some(FirstCreation {
+                id: known.record.id,
+                created,
+            })
         });
-        ended.map(|known| known.record.id).collect()
+        creations.collect()
+    }
+
+    /// Hears of creations, of which the smallest of an instance counts. Returns whether any was new.
+    pub fn learn_creations(&mut self, creations: impl IntoIterator<Item = FirstCreation>) -> bool {
+        let mut changed = false;
+        for FirstCreation { id, created } in creations {
+            let Some(known) = self.known.get_mut(&id) else {
+                continue;
+            };
+            let held = &mut known.record.created;
+            if held.is_none_or(|held| created < held) {
+                *held = Some(created);
+                changed = true;
+            }
+        }
+        changed
     }
 
     /// Takes over a whole list that was true at revision `at`, from the store or a peer.
     /// Returns whether anything changed; a list older than what is known changes nothing.
     pub fn replace(&mut self, now: Timestamp, at: Revision, records: Vec<InstanceRecord>) -> bool {
+        let learned = self.learn_creations(records.iter().filter_map(FirstCreation::of));
         if self.as_of.is_some_and(|known| at < known) {
-            return false;
+            return learned;
         }
         let mut changed = self.as_of.is_none();
         if self.as_of != Some(at) {
@@ -130,7 +187,7 @@
         for record in records {
             changed |= self.put(now, record);
         }
-        self.advance(at, changed)
+        self.advance(at, changed) || learned
     }
 
     /// Takes over the changes up to revision `at`. Returns whether anything changed.
@@ -179,11 +236,12 @@
         if self.as_of.is_none_or(|as_of| as_of < delta.since) {
             return false;
         }
+        let learned = self.learn_creations(delta.records.iter().filter_map(FirstCreation::of));
         let gone = delta.gone.iter();
         let gone = gone.map(|tombstone| InstanceEvent::Gone(tombstone.record.id));
         let put = delta.records.into_iter().map(InstanceEvent::Put);
         let changed = self.apply(now, delta.as_of, put.chain(gone).collect());
-        self.learn_tombstones(now, delta.gone) || changed
+        self.learn_tombstones(now, delta.gone) || changed || learned
     }
 
     /// A peer's word that nothing has changed after `changed_at` up to `as_of`.
@@ -195,10 +253,11 @@
         }
     }
 
-    /// Learns of gone instances that this node never saw, so that their flows go on here too.
-    /// Returns whether any was new.
+    /// Learns of gone instances that this node never saw, so that their flows go on here too, and of
+    /// earlier creations of those that it knows. Returns whether anything was new.
     pub fn learn_tombstones(&mut self, now: Timestamp, tombstones: Vec<Tombstone>) -> bool {
-        let mut changed = false;
+        let records = tombstones.iter().map(|tombstone| &tombstone.record);
+        let mut changed = self.learn_creations(records.filter_map(FirstCreation::of));
         for tombstone in tombstones {
             let age = Duration::from_millis(u64::from(tombstone.age_milliseconds));
             let known = self.known.contains_key(&tombstone.record.id);
@@ -209,7 +268,6 @@
             let id = tombstone.record.id;
             let instance = KnownInstance {
                 record: tombstone.record,
-                first_seen: gone_at,
                 warm_at: gone_at,
                 gone_at: Some(gone_at),
                 gone_revision: tombstone.revision,
@@ -267,17 +325,15 @@
         changed
     }
 
-    fn put(&mut self, now: Timestamp, record: InstanceRecord) -> bool {
+    fn put(&mut self, now: Timestamp, mut record: InstanceRecord) -> bool {
         let cold = Duration::from_millis(u64::from(record.cold_remaining_milliseconds));
-        let first_seen = match self.known.get(&record.id) {
-            Some(known) if known.gone_at.is_none() && known.record.revision >= record.revision => {
+        if let Some(known) = self.known.get(&record.id) {
+            if known.gone_at.is_none() && known.record.revision >= record.revision {
                 return false;
             }
-            Some(known) => known.first_seen,
-            None => now,
-        };
+            record.created = earlier(known.record.created, record.created);
+        }
         let instance = KnownInstance {
-            first_seen,
             warm_at: now.after(cold),
             gone_at: None,
             gone_revision: Revision(0),
@@ -303,7 +359,8 @@
                 true
             }
             (Some(known), Some(record)) => {
-                known.record = record;
+                let created = earlier(known.record.created, record.created);
+                known.record = InstanceRecord { created, ..record };
                 known.gone_at = Some(now);
                 known.gone_revision = at;
                 true
@@ -311,7 +368,6 @@
             (None, Some(record)) => {
                 let instance = KnownInstance {
                     record,
-                    first_seen: now,
                     warm_at: now,
                     gone_at: Some(now),
                     gone_revision: at,
@@ -339,6 +395,13 @@
     }
 }
 
+impl FirstCreation {
+    fn of(record: &InstanceRecord) -> Option<Self> {
+        let id = record.id;
+        record.created.map(|created| Self { id, created })
+    }
+}
+
 impl KnownInstance {
     fn record_at(&self, now: Timestamp) -> InstanceRecord {
         InstanceRecord {
@@ -370,6 +433,14 @@
     last.into_values().collect()
 }
 
+/// The earlier of two creations, as far as they are known.
+fn earlier(one: Option<Revision>, other: Option<Revision>) -> Option<Revision> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    }
+}
+
 fn saturating_milliseconds(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/bellyoke-core/src/cookie/exchange/packed.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/packed.rs
@@ -7,7 +7,7 @@
 
 use super::message::{DecodeError, EncodeError};
 use crate::cookie::delta::DirectoryDelta;
-use crate::cookie::directory::Tombstone;
+use crate::cookie::directory::{FirstCreation, Tombstone};
 use crate::cookie::instance::{InstanceId, InstanceRecord, InstanceState};
 use crate::cookie::replica::{DirectoryPart, DirectorySnapshot, Snapshot, Versions};
 use crate::cookie::revision::Revision;
@@ -26,6 +26,7 @@
     configuration: Option<PackedConfiguration>,
     directory: Option<PackedDirectory>,
     tombstones: Vec<PackedTombstone>,
+    creations: Vec<FirstCreation>,
     zones: Option<ZoneSnapshot>,
 }
 
@@ -121,6 +122,7 @@
             configuration: configuration.transpose()?,
             directory: directory.transpose()?,
             tombstones,
+            creations: snapshot.creations.clone(),
             names: names.into_values(),
             zones: snapshot.zones.clone(),
         })
@@ -142,6 +144,7 @@
             configuration: configuration.transpose()?,
             directory: directory.transpose()?,
             tombstones: unpack_tombstones(names, self.tombstones)?,
+            creations: self.creations,
             zones: self.zones,
         })
     }
--- a/crates/bellyoke-core/src/cookie/reachability.rs
+++ b/crates/bellyoke-core/src/cookie/reachability.rs
@@ -55,6 +55,17 @@
 /// An instance that was probed so lately isn't questioned again.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// What the records tell of an instance in question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordState {
+    /// Its record is there.
+    Present,
+    /// Its record has gone.
+    Gone,
+    /// One that was created later is at its address: connections there tell nothing of it.
+    Succeeded,
+}
+
 /// What a probe found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
@@ -182,8 +193,11 @@
     under_way: bool,
     probed_at: Option<Timestamp>,
     unreachable_at: Option<Timestamp>,
-    /// Its record went while it was unreachable: it has ended, unless the record comes back.
+    /// Its record went, or its address passed on, while it was unreachable: it has ended, unless the
+    /// record comes back.
     settled: bool,
+    /// Another instance holds its address, so that probes tell nothing of it.
+    succeeded: bool,
     /// Until when openings avoid it though it takes connections again.
     avoided_until: Timestamp,
     rechecks: u32,
@@ -202,7 +216,7 @@
         let state = self.states.entry(cookie).or_default();
         let probed_at = state.probed_at;
         let lately = probed_at.is_some_and(|at| now.since(at) < QUESTION_INTERVAL);
-        if state.questioned || state.under_way || lately || state.settled {
+        if state.questioned || state.under_way || lately || state.settled || state.succeeded {
             return false;
         }
         state.questioned = true;
@@ -222,7 +236,7 @@
         self.begin(|state| {
             let probed_at = state.probed_at;
             let is_due = probed_at.is_some_and(|at| now.since(at) >= RECHECK_INTERVAL);
-            is_due && state.rechecks > 0 && !state.settled
+            is_due && state.rechecks > 0 && !state.settled && !state.succeeded
         })
     }
 
@@ -236,15 +250,20 @@
         begun.collect()
     }
 
-    /// Whether the record of an instance has gone. One that was unreachable then has ended; if the
-    /// record comes back, it lives.
-    pub fn note_records(&mut self, now: Timestamp, is_gone: impl Fn(Cookie) -> Option<bool>) {
+    /// What the records tell of instances. One that was unreachable when its record went, or another
+    /// one came to its address, has ended; if the record comes back, it lives.
+    pub fn note_records(
+        &mut self,
+        now: Timestamp,
+        record_of: impl Fn(Cookie) -> Option<RecordState>,
+    ) {
         self.states.retain(|cookie, state| {
-            match is_gone(*cookie) {
-                Some(true) => state.settled |= state.is_unreachable(now),
-                Some(false) => state.settled = false,
-                None => return false,
-            }
+            let Some(record) = record_of(*cookie) else {
+                return false;
+            };
+            state.settled = record != RecordState::Present && state.is_unreachable(now);
+            state.succeeded = record == RecordState::Succeeded;
+            state.questioned &= !state.succeeded;
             true
         });
     }
@@ -260,6 +279,9 @@
         let was_unreachable = state.is_unreachable(now);
         state.under_way = false;
         state.probed_at = Some(now);
+        if state.succeeded {
+            return None;
+        }
         if outcome == ProbeOutcome::Inconclusive {
             state.inconclusive += 1;
             state.questioned &= state.inconclusive < INCONCLUSIVE_PROBES;
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -5,7 +5,7 @@
 //! the life of a process nothing ever goes back.
 
 use crate::cookie::delta::{ConfigurationDelta, DirectoryDelta, StateDelta};
-use crate::cookie::directory::{Directory, Tombstone};
+use crate::cookie::directory::{Directory, FirstCreation, Tombstone};
 use crate::cookie::instance::{InstanceEvent, InstanceRecord};
 use crate::cookie::revision::Revision;
 use crate::cookie::route::Configuration;
@@ -71,6 +71,8 @@
     pub directory: Option<DirectoryPart>,
     /// The gone instances.
     pub tombstones: Vec<Tombstone>,
+    /// First creations of present instances that share an address with another one.
+    pub creations: Vec<FirstCreation>,
     /// The drained zones.
     pub zones: Option<ZoneSnapshot>,
 }
@@ -308,6 +310,7 @@
             }
         }
         change.directory |= self.directory.learn_tombstones(now, snapshot.tombstones);
+        change.directory |= self.directory.learn_creations(snapshot.creations);
         if let Some(zones) = snapshot.zones {
             change.zones = self.zones.adopt(now, zones);
         }
@@ -338,6 +341,7 @@
                 .cloned(),
             directory: self.directory_part(now, versions.directory_as_of),
             tombstones: self.directory.tombstones(now),
+            creations: self.directory.first_creations(),
             zones: self.zones_for(now, versions),
         }
     }
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -104,6 +104,7 @@
     ) -> Self {
         let destinations = destinations(directory);
         let ended = directory.superseded();
+        let succeeded = directory.succeeded();
         let superseded = destinations
             .iter()
             .filter(|(_, destination)| ended.contains(&destination.instance))
@@ -120,7 +121,8 @@
         routes.sort_unstable_by_key(|(address, _)| *address);
         routes.dedup_by_key(|(address, _)| *address);
         let zone_names = zone_names(directory);
-        let candidates = services.candidates(directory, zones, &zone_names, &destinations, &ended);
+        let candidates =
+            services.candidates(directory, zones, &zone_names, &destinations, &succeeded);
         Self {
             routes,
             candidates,
@@ -219,16 +221,14 @@
     }
 }
 
-/// Where each cookie leads. Of several instances with one cookie the first known keeps it,
-/// since its flows are the older; the others take no flow until it is forgotten.
+/// Where each cookie leads. Of several instances with one cookie the first created keeps it, as all
+/// nodes tell alike, since its flows are the older; the others take no flow until it is forgotten.
 fn destinations(directory: &Directory) -> Vec<(Cookie, Destination)> {
     let mut known: Vec<&KnownInstance> = directory.instances().collect();
     known.sort_unstable_by_key(|known| {
-        (
-            Cookie::of(known.record.id),
-            known.first_seen,
-            known.record.id,
-        )
+        let record = &known.record;
+        let unknown = record.created.is_none();
+        (Cookie::of(record.id), unknown, record.created, record.id)
     });
     known.dedup_by_key(|known| Cookie::of(known.record.id));
     let entries = known.into_iter().map(|known| {
@@ -318,7 +318,7 @@
         zones: &ZoneDrains,
         zone_names: &[String],
         destinations: &[(Cookie, Destination)],
-        ended: &BTreeSet<InstanceId>,
+        succeeded: &BTreeSet<InstanceId>,
     ) -> Vec<Vec<Candidate>> {
         let mut candidates = vec![Vec::new(); self.indexes.len()];
         let holders: BTreeSet<InstanceId> = destinations
@@ -331,7 +331,7 @@
                 continue;
             };
             let is_drained = record.state != InstanceState::Ready || zones.is_drained(&record.zone);
-            let takes_flows = holders.contains(&record.id) && !ended.contains(&record.id);
+            let takes_flows = holders.contains(&record.id) && !succeeded.contains(&record.id);
             if is_drained || !takes_flows {
                 continue;
             }
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -81,6 +81,12 @@
         /// The target.
         target: usize,
     },
+    /// The record of a target that has ended is written once more, as by a call that was under way, and
+    /// lapses 3.6 s later.
+    WriteLate {
+        /// The target.
+        target: usize,
+    },
     /// A new target of a service starts, at the address of another one if that is named.
     Start {
         /// Index of the service.
--- a/crates/bellyoke-lab/src/cookie/store.rs
+++ b/crates/bellyoke-lab/src/cookie/store.rs
@@ -97,10 +97,12 @@
 }
 
 impl Store {
-    /// Writes a target's record.
+    /// Writes a target's record. One that isn't there, or has gone, is created.
     pub fn put_instance(&mut self, now: Timestamp, mut record: InstanceRecord) {
         let revision = self.advance();
         record.revision = revision;
+        let held = self.instances.get(&record.id);
+        record.created = held.map_or(Some(revision), |held| held.created);
         self.instances.insert(record.id, record.clone());
         let change = Change::Instance(InstanceEvent::Put(record));
         self.history.push_back((now, revision, change));
--- a/crates/bellyoke-lab/src/cookie/world/actions.rs
+++ b/crates/bellyoke-lab/src/cookie/world/actions.rs
@@ -1,8 +1,11 @@
 //! What a scenario makes happen.
 
 use super::{Event, World};
-use crate::cookie::scenario::{Action, configuration, service_address, zone_name};
+use crate::cookie::scenario::{
+    Action, ZONES, configuration, service_address, service_name, zone_name,
+};
 use crate::cookie::store::StoreMode;
+use crate::cookie::target::TargetSettings;
 use bellyoke_core::cookie::instance::InstanceState;
 use std::time::Duration;
 
@@ -19,6 +22,7 @@
             Action::Drain { target, serves_for } => self.drain(target, serves_for),
             Action::Vanish { target, serves_for } => self.vanish(target, serves_for),
             Action::Crash { target } => self.crash(target),
+            Action::WriteLate { target } => self.write_late(target),
             Action::Deafen { target } => self.targets[target].deaf = true,
             Action::Start {
                 service,
@@ -137,6 +141,14 @@
         self.after(HEARTBEATS_MISSED, Event::RecordGoes(id));
     }
 
+    fn write_late(&mut self, target: usize) {
+        let running = &self.targets[target];
+        let settings = TargetSettings::usual(running.id, service_name(running.service));
+        let record = settings.record(running.address, zone_name(target % ZONES));
+        self.store.put_instance(self.now, record);
+        self.after(HEARTBEATS_MISSED, Event::RecordGoes(settings.id));
+    }
+
     /// As after an outage of the store: the records went meanwhile, and the targets write them
     /// again one after the other.
     fn lapse(&mut self) {
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -479,6 +479,46 @@
     }
 }
 
+/// Addresses pass on from targets that die or drain while all nodes restart, so that these meet both
+/// instances of an address at once, or the dead one last: by a tombstone, or by a late write.
+fn reuse_while_nodes_restart() -> Scenario {
+    let mut scenario = Scenario {
+        long_clients: 60,
+        length: Duration::from_secs(26),
+        ..calm()
+    };
+    for (number, target) in [0, 1, 2].into_iter().enumerate() {
+        let at = 4_000 + number as u64 * 300;
+        let start = Action::Start {
+            service: 0,
+            address_of: Some(target),
+        };
+        scenario = scenario.at(at, Action::Crash { target });
+        scenario = scenario.at(at + 1_200, start);
+        scenario = scenario.at(at + 9_000, Action::WriteLate { target });
+    }
+    for node in 0..5 {
+        let first = 5_400 + node as u64 * 500;
+        let second = 12_000 + node as u64 * 700;
+        scenario = scenario.at(first, Action::Terminate { node });
+        scenario = scenario.at(second, Action::Terminate { node });
+    }
+    scenario.at(18_000, Action::Lapse)
+}
+
+/// Only the order in which the store created the records tells which instance of an address lives: nodes
+/// that went by their own first sight reset flows of the live ones.
+#[test]
+fn no_open_flow_is_reset_whose_instance_took_over_an_address_while_nodes_restart() {
+    holds(&reuse_while_nodes_restart(), 0.9);
+    let hashed = Scenario {
+        hash: RouterHash::Steady,
+        loss: 0.02,
+        ..reuse_while_nodes_restart()
+    };
+    holds(&hashed, 0.85);
+}
+
 /// A dead target is idle: that must not draw flows to it.
 #[test]
 fn loads_draw_no_flows_to_a_crashed_target() {
