--- a/crates/bellyoke-lab/src/backend/options.rs
+++ b/crates/bellyoke-lab/src/backend/options.rs
@@ -2,10 +2,12 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use anyhow::{Context, bail};
-use lexopt::{Arg, ValueExt};
+use anyhow::bail;
+use lexopt::ValueExt;
 use smoltcp::time::Duration;
 
+use crate::options::for_each_option;
+
 const USAGE: &str =
     "usage: bellyoke-lab backend --name NAME --tunnel IP:PORT --fabric IP:PORT --admin IP:PORT
     --allow SERVICE [--allow SERVICE]...
@@ -67,7 +69,7 @@
     /// # Errors
     ///
     /// Fails on an unknown, malformed or missing option.
-    pub fn parse(mut arguments: lexopt::Parser) -> anyhow::Result<Self> {
+    pub fn parse(arguments: lexopt::Parser) -> anyhow::Result<Self> {
         let unset = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
         let mut options = Self {
             settings: BackendSettings::default(),
@@ -75,16 +77,7 @@
             fabric: unset,
             admin: unset,
         };
-        while let Some(argument) = arguments.next()? {
-            let Arg::Long(name) = argument else {
-                return Err(argument.unexpected()).context(USAGE);
-            };
-            let name = name.to_owned();
-            let value = arguments.value().context(USAGE)?;
-            options
-                .set(&name, value)
-                .with_context(|| format!("option --{name}"))?;
-        }
+        for_each_option(arguments, USAGE, |name, value| options.set(name, value))?;
         options.check(unset)?;
         Ok(options)
     }
--- a/crates/bellyoke-lab/src/caller/options.rs
+++ b/crates/bellyoke-lab/src/caller/options.rs
@@ -4,11 +4,12 @@
 use std::path::PathBuf;
 use std::str::FromStr;
 
-use anyhow::{Context, bail};
-use lexopt::{Arg, ValueExt};
+use anyhow::bail;
+use lexopt::ValueExt;
 use smoltcp::time::Duration;
 
 use crate::network::Prefix;
+use crate::options::for_each_option;
 
 const USAGE: &str = "usage: bellyoke-lab caller --tunnel IP:PORT --fabric IP:PORT --prefix PREFIX [--prefix PREFIX]...
     --target SERVICE=IP:PORT:KIND [--target ...]... --report FILE.json [--control IP:PORT]
@@ -165,7 +166,7 @@
     /// # Errors
     ///
     /// Fails on an unknown, malformed or missing option.
-    pub fn parse(mut arguments: lexopt::Parser) -> anyhow::Result<Self> {
+    pub fn parse(arguments: lexopt::Parser) -> anyhow::Result<Self> {
         let unset = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
         let mut options = Self {
             settings: CallerSettings::default(),
@@ -174,16 +175,7 @@
             control: None,
             report: PathBuf::new(),
         };
-        while let Some(argument) = arguments.next()? {
-            let Arg::Long(name) = argument else {
-                return Err(argument.unexpected()).context(USAGE);
-            };
-            let name = name.to_owned();
-            let value = arguments.value().context(USAGE)?;
-            options
-                .set(&name, value)
-                .with_context(|| format!("option --{name}"))?;
-        }
+        for_each_option(arguments, USAGE, |name, value| options.set(name, value))?;
         options.check(unset)?;
         Ok(options)
     }
--- a/crates/bellyoke-lab/src/fabric/options.rs
+++ b/crates/bellyoke-lab/src/fabric/options.rs
@@ -4,11 +4,12 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use anyhow::{Context, bail};
-use lexopt::{Arg, ValueExt};
+use anyhow::bail;
+use lexopt::ValueExt;
 
 use super::machines::PollSettings;
 use crate::network::Prefix;
+use crate::options::for_each_option;
 
 const USAGE: &str = "usage: bellyoke-lab fabric --listen IP:PORT [--route PREFIX=IP:PORT]...
     (--platform http://IP:PORT | --static-balancer IP:PORT [--static-balancer IP:PORT]...)
@@ -96,7 +97,7 @@
     /// # Errors
     ///
     /// Fails on an unknown, malformed or missing option.
-    pub fn parse(mut arguments: lexopt::Parser) -> anyhow::Result<Self> {
+    pub fn parse(arguments: lexopt::Parser) -> anyhow::Result<Self> {
         let unset = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
         let mut options = Self {
             listen: unset,
@@ -112,16 +113,9 @@
             interval: DEFAULT_POLL_INTERVAL,
             lag: Duration::ZERO,
         };
-        while let Some(argument) = arguments.next()? {
-            let Arg::Long(name) = argument else {
-                return Err(argument.unexpected()).context(USAGE);
-            };
-            let name = name.to_owned();
-            let value = arguments.value().context(USAGE)?;
-            options
-                .set(&mut poll, &name, value)
-                .with_context(|| format!("option --{name}"))?;
-        }
+        for_each_option(arguments, USAGE, |name, value| {
+            options.set(&mut poll, name, value)
+        })?;
         if !poll.platform.is_empty() {
             options.poll = Some(poll);
         }
--- a/crates/bellyoke-lab/src/lib.rs
+++ b/crates/bellyoke-lab/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod http;
 pub mod log;
 pub mod network;
+pub mod options;
 pub mod platform;
 pub mod verdict;
