--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -130,6 +130,10 @@
     SettingsReloaded = 831, Info, "The settings were read again.";
     SettingsRejected = 832, Warn, "The settings have changed but cannot be used; the old ones stay in force.";
     MetricsUnavailable = 833, Warn, "The address of the metrics cannot be bound; the node runs without it.";
+    DutyTaken = 861, Info, "This node watches the store for all; the line tells the class of its machine, its zone and its rank among the claims.";
+    DutyLeft = 862, Info, "This node has ceased to watch the store for all; the line tells the class of its machine, its zone and its rank among the claims.";
+    ClaimLowered = 863, Warn, "This node's ticks are late or its link is full: duties go to others first.";
+    ClaimRestored = 864, Info, "This node's ticks are on time again and its link is free; its machine counts as before.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -5,6 +5,7 @@
 
 mod probing;
 
+use crate::cookie::capacity::BusyDetector;
 use crate::cookie::exchange::{
     DeltaMessage, Exchange, ExchangeEffect, FetchRequest, Heartbeat, PeerDatagram, StoreDuty,
 };
@@ -55,6 +56,8 @@
     replica: Replica,
     exchange: Exchange,
     stall: StallDetector,
+    busy: BusyDetector,
+    link_is_paced: bool,
     reachability: ReachabilityMonitor,
     /// By [`ObjectKind`]: whether the last call to the store was answered.
     store_usable: [bool; ObjectKind::COUNT],
@@ -68,6 +71,8 @@
             replica,
             exchange,
             stall: StallDetector::new(),
+            busy: BusyDetector::default(),
+            link_is_paced: false,
             reachability: ReachabilityMonitor::default(),
             store_usable: [true; ObjectKind::COUNT],
         }
@@ -90,6 +95,11 @@
         self.exchange.set_seeds(seeds);
     }
 
+    /// Whether what the node sends is paced, since its link carries no more.
+    pub const fn set_link_paced(&mut self, paced: bool) {
+        self.link_is_paced = paced;
+    }
+
     /// Whether this node, which knows nothing yet, is one of the few that ask the store for all
     /// that know nothing.
     #[must_use]
@@ -233,6 +243,9 @@
     pub fn tick(&mut self, now: Timestamp) -> (Outcome, Option<Duration>) {
         self.notice_stall(now);
         let stalled = self.stall.tick(now);
+        self.busy.tick(now);
+        let busy = self.link_is_paced || self.busy.is_busy(now);
+        self.exchange.set_busy(busy);
         if stalled.is_some() {
             self.reachability.stalled();
         }
@@ -284,6 +297,7 @@
     pub fn fetch_request(&self) -> FetchRequest {
         FetchRequest {
             known: self.replica.versions(),
+            zone: self.exchange.place().zone,
         }
     }
 
--- a/crates/bellyoke-core/src/cookie/exchange/asking.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/asking.rs
@@ -166,12 +166,21 @@
         *share += (known - *share) * MENTION_WEIGHT;
     }
 
-    /// How many nodes there are, as far as this one can tell. It knows a sample, and what share of
-    /// all that is shows in what share of those that peers mention it knows (capture and
-    /// recapture, Lincoln 1930).
+    /// How many nodes there are, as far as this one can tell: those of its own zone, and of others
+    /// what their nodes count, or as many as it knows.
     pub(super) fn estimated_nodes(&self) -> f64 {
-        let known = u32::try_from(self.peers.iter().count() + 1).unwrap_or(u32::MAX);
-        f64::from(known) / self.pacer.known_share.max(LEAST_KNOWN_SHARE)
+        let zone = self.own_zone();
+        let known = self.peers.iter().count() - self.peers.count_in(zone);
+        let known = f64::from(u32::try_from(known).unwrap_or(u32::MAX));
+        self.estimated_zone_nodes() + self.zone_sizes.nodes_outside(zone).max(known)
+    }
+
+    /// How many nodes the own zone has. It knows a sample, and what share of all that is shows in what
+    /// share of those that peers mention it knows (capture and recapture, Lincoln 1930).
+    pub(super) fn estimated_zone_nodes(&self) -> f64 {
+        let known = self.peers.count_in(self.own_zone()) + 1;
+        let known = f64::from(u32::try_from(known).unwrap_or(u32::MAX));
+        known / self.pacer.known_share.max(LEAST_KNOWN_SHARE)
     }
 
     /// The time in which each node has one turn, doubled since turns lie at random in it.
--- a/crates/bellyoke-core/src/cookie/exchange/candidates.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/candidates.rs
@@ -1,12 +1,14 @@
 //! Which nodes watch the store for all.
 //!
-//! Nodes claim the duty for themselves and tell each other the best claims they know, ranked by
-//! rendezvous hash (a gossiped top-k aggregate), so that all soon know the same few whatever the
-//! size of the cluster. A claim carries its age; a node that dies, leaves or loses the store ceases
+//! Nodes claim the duty for themselves and tell each other the best claims they know, ranked by what
+//! their machines can bear, spread over zones, and by rendezvous hash among equals (a gossiped top-k
+//! aggregate), so that all soon know the same few whatever the size of the cluster. A claim carries its age; a node that dies, leaves or loses the store ceases
 //! to renew its claim, and the next ones take over.
 
+use crate::cookie::capacity::NodePlace;
 use crate::time::Timestamp;
 use rkyv::{Archive, Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -26,6 +28,8 @@
 pub struct WatcherClaim {
     /// The node's peer address.
     pub address: SocketAddrV4,
+    /// Where it stands, and what it can bear.
+    pub place: NodePlace,
     /// How long ago the node itself made it, milliseconds.
     pub age_milliseconds: u32,
 }
@@ -41,59 +45,75 @@
     Listener,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    address: SocketAddrV4,
+    place: NodePlace,
+    made_at: Timestamp,
+}
+
 /// The best claims that a node knows.
 #[derive(Debug, Default)]
 pub(super) struct ClaimTable {
-    /// Address and time of the claim, by rank.
-    claims: BTreeMap<u64, (SocketAddrV4, Timestamp)>,
+    /// By rank.
+    claims: Vec<Claim>,
 }
 
 impl ClaimTable {
-    /// Notes a claim that was made at a time.
-    pub(super) fn note(&mut self, address: SocketAddrV4, made_at: Timestamp) {
-        let claim = self
+    /// Notes a claim that was made at a time. The last that a node made counts, also if it ranks lower.
+    pub(super) fn note(&mut self, address: SocketAddrV4, place: NodePlace, made_at: Timestamp) {
+        let held = self
             .claims
-            .entry(watcher_rank(address))
-            .or_insert((address, made_at));
-        claim.1 = claim.1.max(made_at);
+            .iter_mut()
+            .find(|claim| claim.address == address);
+        let claim = Claim {
+            address,
+            place,
+            made_at,
+        };
+        match held {
+            None => self.claims.push(claim),
+            Some(held) if made_at >= held.made_at => *held = claim,
+            Some(_) => {}
+        }
     }
 
     /// Takes a node's claim back.
     pub(super) fn withdraw(&mut self, address: SocketAddrV4) {
-        self.claims.remove(&watcher_rank(address));
+        self.claims.retain(|claim| claim.address != address);
     }
 
-    /// Keeps the best claims that still count.
+    /// Keeps the best claims that still count. What it keeps of the best that several nodes keep is the
+    /// best of all, so that the order in which claims are heard doesn't matter.
     pub(super) fn trim(&mut self, now: Timestamp) {
         self.claims
-            .retain(|_, (_, made_at)| now.since(*made_at) < CLAIM_LIFETIME);
-        while self.claims.len() > WATCHERS {
-            self.claims.pop_last();
-        }
+            .retain(|claim| now.since(claim.made_at) < CLAIM_LIFETIME);
+        let claims = std::mem::take(&mut self.claims);
+        self.claims = in_order(claims, |claim| (claim.address, claim.place));
+        self.claims.truncate(WATCHERS);
     }
 
     /// The claims, for peers.
     pub(super) fn claims(&self, now: Timestamp) -> Vec<WatcherClaim> {
-        let claims = self.claims.values();
-        let claims = claims.map(|(address, made_at)| WatcherClaim {
-            address: *address,
-            age_milliseconds: super::milliseconds_since(now, *made_at),
+        let claims = self.claims.iter();
+        let claims = claims.map(|claim| WatcherClaim {
+            address: claim.address,
+            place: claim.place,
+            age_milliseconds: super::milliseconds_since(now, claim.made_at),
         });
         claims.collect()
     }
 
-    /// Whether a node's claim is among them.
-    pub(super) fn holds(&self, address: SocketAddrV4) -> bool {
-        self.claims.contains_key(&watcher_rank(address))
+    /// Where a node's claim stands among them.
+    pub(super) fn place_of(&self, address: SocketAddrV4) -> Option<usize> {
+        self.claims
+            .iter()
+            .position(|claim| claim.address == address)
     }
 
     /// The duty that falls to a node by its claim.
     pub(super) fn duty(&self, address: SocketAddrV4) -> StoreDuty {
-        let place = self
-            .claims
-            .values()
-            .position(|(claimant, _)| *claimant == address);
-        match place {
+        match self.place_of(address) {
             Some(0) => StoreDuty::Reader,
             Some(place) if place < WATCHERS => StoreDuty::Backup,
             _ => StoreDuty::Listener,
@@ -101,9 +121,32 @@
     }
 }
 
-/// Whether one node stands before another where few act for all.
-pub(super) fn ranks_before(one: SocketAddrV4, other: SocketAddrV4) -> bool {
-    watcher_rank(one) < watcher_rank(other)
+/// Puts nodes in the order in which duties fall to them: the largest first; of those of one class the first of each zone,
+/// then the second, and so on; by hash among equals.
+pub(super) fn in_order<Node>(
+    nodes: Vec<Node>,
+    identity: impl Fn(&Node) -> (SocketAddrV4, NodePlace),
+) -> Vec<Node> {
+    let ranked = nodes.into_iter().map(|node| {
+        let (address, place) = identity(&node);
+        (
+            Reverse(place.class),
+            watcher_rank(address),
+            place.zone,
+            node,
+        )
+    });
+    let mut ranked: Vec<_> = ranked.collect();
+    ranked.sort_unstable_by_key(|(class, hash, ..)| (*class, *hash));
+    let mut before: BTreeMap<_, u32> = BTreeMap::new();
+    let placed = ranked.into_iter().map(|(class, hash, zone, node)| {
+        let count = before.entry((class, zone)).or_default();
+        *count += 1;
+        ((class, *count, hash), node)
+    });
+    let mut placed: Vec<_> = placed.collect();
+    placed.sort_unstable_by_key(|(rank, _)| *rank);
+    placed.into_iter().map(|(_, node)| node).collect()
 }
 
 fn watcher_rank(address: SocketAddrV4) -> u64 {
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -6,6 +6,7 @@
 
 use super::candidates::{WATCHERS, WatcherClaim};
 use super::packed::PackedSnapshot;
+use crate::cookie::capacity::{NodePlace, ZoneNumber};
 use crate::cookie::delta::StateDelta;
 use crate::cookie::replica::{Snapshot, Versions};
 use rkyv::util::AlignedVec;
@@ -55,14 +56,38 @@
     pub leaving: bool,
     /// How long ago its state was known to be the newest, milliseconds; none if it never was.
     pub confirmed_age_milliseconds: Option<u32>,
+    /// Where it stands, and what it can bear.
+    pub place: NodePlace,
     /// The best claims to watch the store that it knows.
     pub claims: Vec<WatcherClaim>,
     /// Some peers that it has heard of late.
-    pub peers: Vec<SocketAddrV4>,
+    pub peers: Vec<PeerSuggestion>,
+    /// How large zones are, its own among them.
+    pub zones: Vec<ZoneSize>,
     /// Cookies of instances that don't complete the openings that it sends itself.
     pub failing: Vec<u32>,
 }
 
+/// A peer that another one has heard of late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct PeerSuggestion {
+    /// Its address.
+    pub address: SocketAddrV4,
+    /// Where it stands, and what it can bear.
+    pub place: NodePlace,
+}
+
+/// How many nodes a zone has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct ZoneSize {
+    /// The zone.
+    pub zone: ZoneNumber,
+    /// How many nodes one of its nodes took it to have.
+    pub nodes: u16,
+    /// How long ago, milliseconds.
+    pub age_milliseconds: u32,
+}
+
 /// What a peer that knew a little less needs to know.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct DeltaMessage {
@@ -84,6 +109,8 @@
 pub struct FetchRequest {
     /// The sender's versions.
     pub known: Versions,
+    /// The zone of the sender.
+    pub zone: ZoneNumber,
 }
 
 /// A datagram of a peer.
@@ -231,6 +258,9 @@
     /// Most peers that a heartbeat tells of.
     pub const MAXIMUM_PEERS: usize = 6;
 
+    /// Most zones whose sizes a heartbeat tells.
+    pub const MAXIMUM_ZONES: usize = 8;
+
     /// Most failing instances that a heartbeat tells of.
     pub const MAXIMUM_FAILING: usize = 32;
 
@@ -252,6 +282,7 @@
         let heartbeat: Self = decode(bytes, key, HEARTBEAT_KIND, MAXIMUM_HEARTBEAT_LENGTH)?;
         if heartbeat.peers.len() > Self::MAXIMUM_PEERS
             || heartbeat.claims.len() > WATCHERS
+            || heartbeat.zones.len() > Self::MAXIMUM_ZONES
             || heartbeat.failing.len() > Self::MAXIMUM_FAILING
         {
             return Err(DecodeError::Length {
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -20,9 +20,11 @@
 mod message;
 mod packed;
 mod peers;
+mod receivers;
 mod settings;
 mod size;
 mod watching;
+mod zone_sizes;
 
 pub use candidates::{CLAIM_LIFETIME, StoreDuty, WATCHERS, WatcherClaim};
 pub use effect::ExchangeEffect;
@@ -30,25 +32,28 @@
 pub use message::{
     DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
     MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey,
-    Question, decode_snapshot, encode_snapshot,
+    PeerSuggestion, Question, ZoneSize, decode_snapshot, encode_snapshot,
 };
 pub use peers::PeerRecord;
 pub use settings::ExchangeSettings;
 
+use crate::cookie::capacity::{NodePlace, ZoneNumber};
 use crate::cookie::freshness::FreshnessClock;
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
 use asking::AskPacer;
-use candidates::{ClaimTable, ranks_before};
+use candidates::{ClaimTable, in_order};
 use fetches::{FetchPurpose, FetchTable};
 use peers::PeerTable;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use receivers::PUSHED_PEERS;
 use size::ClusterSize;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
+use zone_sizes::ZoneSizes;
 
 /// Peers that must agree that an instance fails.
 const WITNESSES: usize = 2;
@@ -65,8 +70,14 @@
 pub struct Exchange {
     settings: ExchangeSettings,
     own_address: SocketAddrV4,
+    place: NodePlace,
+    /// Whether it has too much to do for duties that others can take.
+    busy: bool,
     seeds: Vec<SocketAddrV4>,
     peers: PeerTable,
+    zone_sizes: ZoneSizes,
+    /// How many nodes its own zone has, as of the last round.
+    own_zone_nodes: f64,
     random: ChaCha8Rng,
     next_round: Timestamp,
     fetches: FetchTable,
@@ -98,8 +109,12 @@
         let mut exchange = Self {
             settings,
             own_address,
+            place: NodePlace::default(),
+            busy: false,
             seeds: Vec::new(),
             peers: PeerTable::default(),
+            zone_sizes: ZoneSizes::default(),
+            own_zone_nodes: 1.0,
             random: ChaCha8Rng::seed_from_u64(random_seed),
             next_round: Timestamp::ZERO,
             fetches: FetchTable::default(),
@@ -120,6 +135,43 @@
         exchange
     }
 
+    /// The same, of a node that stands at a place.
+    #[must_use]
+    pub const fn standing_at(mut self, place: NodePlace) -> Self {
+        self.place = place;
+        self
+    }
+
+    /// Whether the node has too much to do for duties that others can take. They go to others, unless
+    /// these have too.
+    pub const fn set_busy(&mut self, busy: bool) {
+        self.busy = busy;
+    }
+
+    /// Where the node stands, and what it tells others that it can bear.
+    #[must_use]
+    pub const fn place(&self) -> NodePlace {
+        self.own_place()
+    }
+
+    /// Whether it has too much to do for duties that others can take.
+    #[must_use]
+    pub const fn is_busy(&self) -> bool {
+        self.busy
+    }
+
+    /// The zone of a peer, if it is known.
+    #[must_use]
+    pub fn zone_of(&self, peer: SocketAddrV4) -> Option<ZoneNumber> {
+        self.peers.zone_of(peer)
+    }
+
+    /// Where the node's claim stands among those that it knows, the first at zero; none if others are better.
+    #[must_use]
+    pub fn claim_rank(&self) -> Option<usize> {
+        self.claims.place_of(self.own_address)
+    }
+
     /// Replaces the addresses where peers are looked for.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.seeds = seeds;
@@ -135,9 +187,13 @@
     /// suggested.
     #[must_use]
     pub fn ranks_among_first(&self) -> bool {
-        let known = self.peers.iter().map(|(address, _)| address);
-        let before = known.filter(|address| ranks_before(*address, self.own_address));
-        before.count() < ASKERS
+        let known = self.peers.iter();
+        let mut known: Vec<_> = known
+            .map(|(address, record)| (address, record.place))
+            .collect();
+        known.push((self.own_address, self.own_place()));
+        let mut first = in_order(known, |node| *node).into_iter().take(ASKERS);
+        first.any(|(address, _)| address == self.own_address)
     }
 
     /// When [`Self::tick`] has something to do.
@@ -162,8 +218,7 @@
             }
             self.renew_claim(now);
             self.draw_first_turns(now);
-            let nodes = self.estimated_nodes();
-            self.size.note(now, nodes);
+            self.count_nodes(now);
             self.send_round(now, own, &mut effects);
         }
         self.fetch_if_behind(now, own, &behind, &mut effects);
@@ -191,15 +246,11 @@
             return effects;
         }
         self.pacer.heard(now);
-        if self.peers.heard(now, from, heartbeat) {
+        let zone = self.own_zone();
+        if self.peers.heard(now, zone, from, heartbeat) {
             effects.push(ExchangeEffect::PeerJoined(from));
         }
-        for address in &heartbeat.peers {
-            if *address != self.own_address {
-                self.note_mention(*address);
-                self.peers.suggest(now, *address);
-            }
-        }
+        self.note_suggestions(now, heartbeat);
         self.note_claims(now, &heartbeat.claims);
         if let Some(confirmed_at) = self.confirmation(now, heartbeat) {
             self.pacer.peer_confirmed(confirmed_at);
@@ -224,8 +275,8 @@
         before: Versions,
         own: Versions,
     ) -> Vec<ExchangeEffect> {
-        let heartbeats = self.push_heartbeats(now, own);
-        let deltas = heartbeats.into_iter();
+        let receivers = self.push_receivers(own);
+        let deltas = self.push_heartbeats(now, receivers, own).into_iter();
         let deltas = deltas.map(|(to, heartbeat)| ExchangeEffect::SendDelta {
             to,
             known: before,
@@ -236,7 +287,8 @@
 
     /// Tells a few peers at once what doesn't show in the versions.
     pub fn announce(&mut self, now: Timestamp, own: Versions) -> Vec<ExchangeEffect> {
-        let heartbeats = self.push_heartbeats(now, own).into_iter();
+        let receivers = self.announce_receivers();
+        let heartbeats = self.push_heartbeats(now, receivers, own).into_iter();
         let sent = heartbeats.map(|(to, heartbeat)| ExchangeEffect::Send { to, heartbeat });
         sent.collect()
     }
@@ -268,9 +320,7 @@
             let question = Question {
                 cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
             };
-            let receivers = self
-                .peers
-                .sample(self.settings.push_fanout, &mut self.random);
+            let receivers = self.announce_receivers();
             effects.extend(
                 receivers
                     .into_iter()
@@ -317,50 +367,49 @@
     }
 
     fn send_round(&mut self, now: Timestamp, own: Versions, effects: &mut Vec<ExchangeEffect>) {
-        let mut receivers = self.peers.sample(self.settings.fanout, &mut self.random);
-        let seed = self.random_seed();
-        let lonely = receivers.len() < self.settings.fanout;
-        // A seed now and then joins parts of the cluster that have lost each other.
-        const SEED_CHANCE: f64 = 0.1;
-        if let Some(seed) = seed
-            && (lonely || self.random.random_bool(SEED_CHANCE))
-            && !receivers.contains(&seed)
-        {
-            receivers.push(seed);
-        }
-        for to in receivers {
-            let heartbeat = self.heartbeat_for(now, to, own);
+        for to in self.round_receivers() {
+            let heartbeat = self.heartbeat_for(now, to, own, Heartbeat::MAXIMUM_PEERS);
             effects.push(ExchangeEffect::Send { to, heartbeat });
         }
     }
 
-    fn random_seed(&mut self) -> Option<SocketAddrV4> {
-        if self.seeds.is_empty() {
-            return None;
-        }
-        let index = self.random.random_range(0..self.seeds.len());
-        Some(self.seeds[index])
-    }
-
-    fn push_heartbeats(&mut self, now: Timestamp, own: Versions) -> Vec<(SocketAddrV4, Heartbeat)> {
-        let receivers = self
-            .peers
-            .sample(self.settings.push_fanout, &mut self.random);
+    fn push_heartbeats(
+        &mut self,
+        now: Timestamp,
+        receivers: Vec<SocketAddrV4>,
+        own: Versions,
+    ) -> Vec<(SocketAddrV4, Heartbeat)> {
         let heartbeats = receivers.into_iter();
-        let heartbeats = heartbeats.map(|to| (to, self.heartbeat_for(now, to, own)));
+        let heartbeats = heartbeats.map(|to| (to, self.heartbeat_for(now, to, own, PUSHED_PEERS)));
         heartbeats.collect()
     }
 
-    fn heartbeat_for(&mut self, now: Timestamp, to: SocketAddrV4, own: Versions) -> Heartbeat {
+    /// Counts the nodes of the own zone, for others, and all, for this one.
+    fn count_nodes(&mut self, now: Timestamp) {
+        self.own_zone_nodes = self.estimated_zone_nodes();
+        self.zone_sizes.expire(now);
+        let nodes = self.own_zone_nodes.round().min(f64::from(u16::MAX)) as u16;
+        self.zone_sizes.note(self.own_zone(), nodes, now);
+        let nodes = self.estimated_nodes();
+        self.size.note(now, nodes);
+    }
+
+    fn heartbeat_for(
+        &mut self,
+        now: Timestamp,
+        to: SocketAddrV4,
+        own: Versions,
+        most_peers: usize,
+    ) -> Heartbeat {
         let age = self.clock.age(now);
         Heartbeat {
             versions: own,
             leaving: self.leaving,
             confirmed_age_milliseconds: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+            place: self.own_place(),
             claims: self.claims.claims(now),
-            peers: self
-                .peers
-                .sample_for(to, Heartbeat::MAXIMUM_PEERS, &mut self.random),
+            peers: self.peers.suggestions_for(to, most_peers, &mut self.random),
+            zones: self.zone_sizes.told(now),
             failing: self.failing.iter().map(|cookie| cookie.bits()).collect(),
         }
     }
@@ -375,14 +424,12 @@
         effects: &mut Vec<ExchangeEffect>,
     ) {
         let known = heartbeat.versions;
-        let sender_is_behind = known.configuration < own.configuration
-            || known.directory_as_of < own.directory_changed_at
-            || known.zones_as_of < own.zones_changed_at;
+        let sender_is_behind = known.lacks(own);
         let sender_is_lonely = heartbeat.peers.len() < self.settings.fanout;
         if !(sender_is_behind || sender_is_lonely) || !self.peers.may_reply(now, to) {
             return;
         }
-        let heartbeat = self.heartbeat_for(now, to, own);
+        let heartbeat = self.heartbeat_for(now, to, own, Heartbeat::MAXIMUM_PEERS);
         effects.push(if sender_is_behind {
             ExchangeEffect::SendDelta {
                 to,
@@ -401,7 +448,8 @@
         behind: &impl Fn(Versions) -> bool,
         effects: &mut Vec<ExchangeEffect>,
     ) {
-        let Some((from, versions)) = self.peers.newest(behind, &mut self.random) else {
+        let zone = self.own_zone();
+        let Some((from, versions)) = self.peers.newest(zone, behind, &mut self.random) else {
             self.behind_since = None;
             self.introduce(now, effects);
             return;
@@ -421,7 +469,7 @@
         if self.introductions == 0 {
             return;
         }
-        if let Some(from) = self.peers.sample_heard(&mut self.random) {
+        if let Some(from) = self.peers.sample_heard(self.own_zone(), &mut self.random) {
             self.fetch(now, from, FetchPurpose::Introduction, effects);
         }
     }
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -1,11 +1,12 @@
 //! The peers that a node has heard of late.
 
-use super::message::Heartbeat;
+use super::message::{Heartbeat, PeerSuggestion};
+use crate::cookie::capacity::{NodePlace, ZoneNumber};
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
-use rand::Rng;
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
+use rand::{Rng, RngExt};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -14,6 +15,12 @@
 /// cluster of any size.
 const MAXIMUM_PEERS: usize = 256;
 
+/// The own zone may take as many times more of the table as another.
+const OWN_ZONE_WEIGHT: usize = 3;
+
+/// One in so many peers that are suggested is of another zone than the receiver's, if any is known.
+const FAR_SHARE: usize = 3;
+
 /// Shortest time between two replies to one peer.
 const REPLY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -24,6 +31,8 @@
     pub noted_at: Timestamp,
     /// Whether it was heard itself.
     pub heard: bool,
+    /// Where it stands, and what it can bear.
+    pub place: NodePlace,
     /// How much it knows.
     pub versions: Versions,
     /// Instances that don't complete its openings.
@@ -53,20 +62,23 @@
     pub(super) fn heard(
         &mut self,
         now: Timestamp,
+        own_zone: ZoneNumber,
         from: SocketAddrV4,
         heartbeat: &Heartbeat,
     ) -> bool {
         if !self.records.contains_key(&from) {
-            self.make_room();
+            self.make_room(own_zone);
         }
         let record = self.records.entry(from).or_insert(PeerRecord {
             noted_at: now,
             heard: false,
+            place: heartbeat.place,
             versions: heartbeat.versions,
             failing: Vec::new(),
             replied_at: None,
         });
         record.noted_at = now;
+        record.place = heartbeat.place;
         record.versions = heartbeat.versions;
         let failing = heartbeat.failing.iter();
         record.failing = failing
@@ -76,17 +88,29 @@
     }
 
     /// Notes a peer that another one told of, until it speaks itself or is forgotten.
-    pub(super) fn suggest(&mut self, now: Timestamp, address: SocketAddrV4) {
-        if self.records.len() >= MAXIMUM_PEERS {
+    pub(super) fn suggest(
+        &mut self,
+        now: Timestamp,
+        own_zone: ZoneNumber,
+        address: SocketAddrV4,
+        place: NodePlace,
+    ) {
+        if self.knows(address) {
+            return;
+        }
+        if self.records.len() >= MAXIMUM_PEERS && !self.is_scarce(own_zone, place.zone) {
             return;
         }
-        self.records.entry(address).or_insert(PeerRecord {
+        self.make_room(own_zone);
+        let record = PeerRecord {
             noted_at: now,
             heard: false,
+            place,
             versions: Versions::default(),
             failing: Vec::new(),
             replied_at: None,
-        });
+        };
+        self.records.insert(address, record);
     }
 
     /// Returns whether the peer was known to be alive.
@@ -115,10 +139,25 @@
         }
     }
 
-    /// A peer that is alive.
-    pub(super) fn sample_heard(&self, random: &mut impl Rng) -> Option<SocketAddrV4> {
+    /// A peer that is alive, of the own zone if there is one.
+    pub(super) fn sample_heard(
+        &self,
+        zone: ZoneNumber,
+        random: &mut impl Rng,
+    ) -> Option<SocketAddrV4> {
         let heard = self.records.iter().filter(|(_, record)| record.heard);
-        heard.map(|(address, _)| *address).choose(random)
+        choose_source(zone, heard, random).map(|(address, _)| address)
+    }
+
+    /// The zone of a peer that is known.
+    pub(super) fn zone_of(&self, address: SocketAddrV4) -> Option<ZoneNumber> {
+        self.records.get(&address).map(|record| record.place.zone)
+    }
+
+    /// How many peers of a zone are known.
+    pub(super) fn count_in(&self, zone: ZoneNumber) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.place.zone == zone).count()
     }
 
     /// Instances that at least `witnesses` peers suspect; all peers, if there are fewer.
@@ -133,22 +172,74 @@
         enough.map(|(cookie, _)| cookie).collect()
     }
 
-    pub(super) fn sample(&self, count: usize, random: &mut impl Rng) -> Vec<SocketAddrV4> {
-        self.records.keys().copied().sample(random, count)
+    /// Some peers of a zone.
+    pub(super) fn sample_near(
+        &self,
+        zone: ZoneNumber,
+        count: usize,
+        random: &mut impl Rng,
+        wanted: impl Fn(&PeerRecord) -> bool,
+    ) -> Vec<SocketAddrV4> {
+        let near = self.records.iter();
+        let near = near.filter(|(_, record)| record.place.zone == zone && wanted(record));
+        near.map(|(address, _)| *address).sample(random, count)
     }
 
-    /// Peers that are alive and not `receiver` itself.
-    pub(super) fn sample_for(
+    /// Some peers of other zones, of as many zones as possible.
+    pub(super) fn sample_far(
         &self,
-        receiver: SocketAddrV4,
+        zone: ZoneNumber,
         count: usize,
         random: &mut impl Rng,
+        wanted: impl Fn(&PeerRecord) -> bool,
     ) -> Vec<SocketAddrV4> {
-        let alive = self.records.iter().filter(|(_, record)| record.heard);
-        let addresses = alive.map(|(address, _)| *address);
-        addresses
-            .filter(|address| *address != receiver)
-            .sample(random, count)
+        if count == 0 {
+            return Vec::new();
+        }
+        let mut by_zone: BTreeMap<ZoneNumber, Vec<SocketAddrV4>> = BTreeMap::new();
+        for (address, record) in &self.records {
+            if record.place.zone != zone && wanted(record) {
+                by_zone.entry(record.place.zone).or_default().push(*address);
+            }
+        }
+        let mut turns: Vec<((usize, u32), SocketAddrV4)> = Vec::new();
+        for mut addresses in by_zone.into_values() {
+            addresses.shuffle(random);
+            let placed = addresses.into_iter().take(count).enumerate();
+            turns.extend(placed.map(|(turn, address)| ((turn, random.random()), address)));
+        }
+        turns.sort_unstable();
+        let chosen = turns.into_iter().take(count);
+        chosen.map(|(_, address)| address).collect()
+    }
+
+    /// Peers that are alive, for a receiver, who isn't among them: more of its zone than of others.
+    pub(super) fn suggestions_for(
+        &self,
+        receiver: SocketAddrV4,
+        count: usize,
+        random: &mut impl Rng,
+    ) -> Vec<PeerSuggestion> {
+        let alive = self.records.iter();
+        let alive = alive.filter(|(address, record)| record.heard && **address != receiver);
+        let mut alive: Vec<PeerSuggestion> = alive
+            .map(|(address, record)| PeerSuggestion {
+                address: *address,
+                place: record.place,
+            })
+            .collect();
+        alive.shuffle(random);
+        let Some(zone) = self.zone_of(receiver) else {
+            alive.truncate(count);
+            return alive;
+        };
+        let (near, far): (Vec<_>, Vec<_>) =
+            alive.into_iter().partition(|peer| peer.place.zone == zone);
+        let least_far = far.len().min(count / FAR_SHARE);
+        let near_count = near.len().min(count - least_far);
+        let near = near.into_iter().take(near_count);
+        near.chain(far.into_iter().take(count - near_count))
+            .collect()
     }
 
     /// Whether a reply to the peer is due; if so it counts as sent.
@@ -166,17 +257,19 @@
     }
 
     /// One of the peers that know more than this node, and what it knows; one that knows something of
-    /// all if there is one.
+    /// all if there is one, of the own zone if there is one.
     pub(super) fn newest(
         &self,
+        zone: ZoneNumber,
         behind: &impl Fn(Versions) -> bool,
         random: &mut impl Rng,
     ) -> Option<(SocketAddrV4, Versions)> {
         let ahead = self.records.iter();
         let ahead = ahead.filter(|(_, record)| record.heard && behind(record.versions));
-        let ahead = ahead.map(|(address, record)| (*address, record.versions));
-        let complete = ahead.clone().filter(|(_, versions)| !versions.is_empty());
-        complete.choose(random).or_else(|| ahead.choose(random))
+        let complete = ahead
+            .clone()
+            .filter(|(_, record)| !record.versions.is_empty());
+        choose_source(zone, complete, random).or_else(|| choose_source(zone, ahead, random))
     }
 
     /// Forgets how much a peer claimed to know, until it speaks again.
@@ -186,18 +279,62 @@
         }
     }
 
-    /// Makes room for a peer that spoke: one that was only suggested goes first, then the one
-    /// that was silent for longest. Whoever speaks must be known, or it is never answered.
-    fn make_room(&mut self) {
+    /// Makes room for a peer: one that was only suggested goes first, then one of the zone with the
+    /// most, the one that was silent for longest. Whoever speaks must be known, or it is never answered.
+    fn make_room(&mut self, own_zone: ZoneNumber) {
         if self.records.len() < MAXIMUM_PEERS {
             return;
         }
-        let first_to_go = self
-            .records
-            .iter()
-            .min_by_key(|(_, record)| (record.heard, record.noted_at));
+        let largest = self
+            .loads(own_zone)
+            .into_iter()
+            .max_by_key(|(_, load)| *load);
+        let largest = largest.map(|(zone, _)| zone);
+        let first_to_go = self.records.iter().min_by_key(|(_, record)| {
+            let spared = Some(record.place.zone) != largest;
+            (record.heard, spared, record.noted_at)
+        });
         if let Some(address) = first_to_go.map(|(address, _)| *address) {
             self.records.remove(&address);
         }
     }
+
+    /// How much of the table each zone takes; the own one may take more.
+    fn loads(&self, own_zone: ZoneNumber) -> BTreeMap<ZoneNumber, usize> {
+        let mut loads: BTreeMap<ZoneNumber, usize> = BTreeMap::new();
+        for record in self.records.values() {
+            let zone = record.place.zone;
+            let weight = if zone == own_zone { 1 } else { OWN_ZONE_WEIGHT };
+            *loads.entry(zone).or_default() += weight;
+        }
+        loads
+    }
+
+    /// Whether a zone takes less than half of what the one with the most takes.
+    fn is_scarce(&self, own_zone: ZoneNumber, zone: ZoneNumber) -> bool {
+        let loads = self.loads(own_zone);
+        let most = loads.values().max().copied().unwrap_or_default();
+        loads.get(&zone).copied().unwrap_or_default() * 2 < most
+    }
+}
+
+/// One of some peers to fetch from: of the own zone if one is there, more likely one that can bear more.
+fn choose_source<'a>(
+    zone: ZoneNumber,
+    peers: impl Iterator<Item = (&'a SocketAddrV4, &'a PeerRecord)>,
+    random: &mut impl Rng,
+) -> Option<(SocketAddrV4, Versions)> {
+    let mut chosen = None;
+    let mut chosen_key = (false, 0.0);
+    for (address, record) in peers {
+        // The greatest of such draws is each peer's by its share of all weights (Efraimidis and Spirakis 2006).
+        let draw: f64 = random.random_range(0.0..1.0);
+        let draw = draw.powf(1.0 / f64::from(record.place.class.weight()));
+        let key = (record.place.zone == zone, draw);
+        if chosen.is_none() || key > chosen_key {
+            chosen = Some((*address, record.versions));
+            chosen_key = key;
+        }
+    }
+    chosen
 }
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/exchange/receivers.rs
@@ -0,0 +1,131 @@
+//! Who is told, and who is asked: peers of the own zone first.
+//!
+//! Bytes between zones are dear, and each zone needs to hear a thing once from outside. So each node
+//! tells peers of its own zone, and one of another zone by chance, so that a fixed number of a zone's
+//! nodes does, however many it has. Nobody is chosen for it: no node's death cuts a zone off, and
+//! none has to know that it was chosen.
+
+use super::peers::PeerRecord;
+use super::{Exchange, Heartbeat};
+use crate::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
+use crate::cookie::replica::Versions;
+use rand::RngExt;
+use std::net::SocketAddrV4;
+
+/// Nodes of each zone that tell another one what is new. That none of several zones tells one has a chance of
+/// one in four hundred (e to the minus six); then the next round does.
+const PUSH_CROSSINGS: f64 = 6.0;
+
+/// Nodes of each zone that tell another one in each round what they know.
+const ROUND_CROSSINGS: f64 = 4.0;
+
+/// A seed now and then joins parts of the cluster that have lost each other.
+const SEED_CHANCE: f64 = 0.1;
+
+/// Peers that a push tells of: enough that its sender isn't taken for one that knows nobody.
+pub(super) const PUSHED_PEERS: usize = 2;
+
+impl Exchange {
+    /// The number of the zone that this node tells that it stands in.
+    pub(super) const fn own_zone(&self) -> ZoneNumber {
+        if self.settings.own_zone_first {
+            self.place.zone
+        } else {
+            ZoneNumber(0)
+        }
+    }
+
+    /// Where this node stands, and what it can bear at the moment.
+    pub(super) const fn own_place(&self) -> NodePlace {
+        NodePlace {
+            zone: self.own_zone(),
+            class: if self.busy {
+                CapacityClass::BUSY
+            } else {
+                self.place.class
+            },
+        }
+    }
+
+    /// Who gets the heartbeats of a round.
+    pub(super) fn round_receivers(&mut self) -> Vec<SocketAddrV4> {
+        let fanout = self.settings.fanout;
+        let mut receivers = self.draw_receivers(fanout, ROUND_CROSSINGS, |_| true);
+        let lonely = receivers.len() < fanout;
+        if let Some(seed) = self.random_seed()
+            && (lonely || self.random.random_bool(self.seed_chance(seed)))
+            && !receivers.contains(&seed)
+        {
+            receivers.push(seed);
+        }
+        receivers
+    }
+
+    /// Who is told at once of what a node with `own` versions has learned: nobody who has told that it
+    /// knows as much.
+    pub(super) fn push_receivers(&mut self, own: Versions) -> Vec<SocketAddrV4> {
+        self.draw_receivers(self.settings.push_fanout, PUSH_CROSSINGS, |record| {
+            record.versions.lacks(own)
+        })
+    }
+
+    /// Who is told at once of what doesn't show in the versions.
+    pub(super) fn announce_receivers(&mut self) -> Vec<SocketAddrV4> {
+        self.draw_receivers(self.settings.push_fanout, PUSH_CROSSINGS, |_| true)
+    }
+
+    fn draw_receivers(
+        &mut self,
+        count: usize,
+        crossings: f64,
+        wanted: impl Fn(&PeerRecord) -> bool,
+    ) -> Vec<SocketAddrV4> {
+        let zone = self.own_zone();
+        let random = &mut self.random;
+        let mut receivers = self.peers.sample_near(zone, count, random, &wanted);
+        let crosses = random.random_bool((crossings / self.own_zone_nodes).clamp(0.0, 1.0));
+        let missing = count - receivers.len();
+        let far = missing.max(usize::from(crosses));
+        receivers.extend(self.peers.sample_far(zone, far, random, &wanted));
+        receivers
+    }
+
+    /// How likely a round goes to a seed as well.
+    fn seed_chance(&self, seed: SocketAddrV4) -> f64 {
+        let zone = self.own_zone();
+        let is_near = zone == ZoneNumber(0) || self.peers.zone_of(seed) == Some(zone);
+        if is_near {
+            SEED_CHANCE
+        } else {
+            SEED_CHANCE * (ROUND_CROSSINGS / self.own_zone_nodes).clamp(0.0, 1.0)
+        }
+    }
+
+    fn random_seed(&mut self) -> Option<SocketAddrV4> {
+        if self.seeds.is_empty() {
+            return None;
+        }
+        let index = self.random.random_range(0..self.seeds.len());
+        Some(self.seeds[index])
+    }
+
+    /// Notes what a heartbeat tells of other nodes.
+    pub(super) fn note_suggestions(&mut self, now: crate::time::Timestamp, heartbeat: &Heartbeat) {
+        let zone = self.own_zone();
+        for peer in &heartbeat.peers {
+            if peer.address == self.own_address {
+                continue;
+            }
+            if peer.place.zone == zone {
+                self.note_mention(peer.address);
+            }
+            self.peers.suggest(now, zone, peer.address, peer.place);
+        }
+        for size in &heartbeat.zones {
+            let age = std::time::Duration::from_millis(u64::from(size.age_milliseconds));
+            if size.zone != zone {
+                self.zone_sizes.note(size.zone, size.nodes, now.before(age));
+            }
+        }
+    }
+}
--- a/crates/bellyoke-core/src/cookie/exchange/settings.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/settings.rs
@@ -21,6 +21,9 @@
     /// How old the last confirmation may be before a node asks the store itself. Well below the
     /// time within which a change must be in force.
     pub freshness_bound: Duration,
+    /// Whether nodes tell and ask peers of their own zone first, so that bytes between zones don't grow
+    /// with the nodes of a zone.
+    pub own_zone_first: bool,
     /// Whether operators may drain zones, so that nodes read which.
     pub reads_zones: bool,
 }
@@ -35,6 +38,7 @@
             patience: Duration::from_millis(250),
             fetch_interval: Duration::from_millis(300),
             freshness_bound: Duration::from_millis(1_500),
+            own_zone_first: true,
             reads_zones: false,
         }
     }
--- a/crates/bellyoke-core/src/cookie/exchange/watching.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/watching.rs
@@ -80,7 +80,7 @@
 
     pub(super) fn renew_claim(&mut self, now: Timestamp) {
         if self.store_usable && !self.leaving {
-            self.claims.note(self.own_address, now);
+            self.claims.note(self.own_address, self.own_place(), now);
         }
         self.trim_claims(now);
     }
@@ -89,7 +89,8 @@
         for claim in claims {
             let age = Duration::from_millis(u64::from(claim.age_milliseconds));
             if claim.address != self.own_address && age < CLAIM_LIFETIME {
-                self.claims.note(claim.address, now.before(age));
+                self.claims
+                    .note(claim.address, claim.place, now.before(age));
             }
         }
         self.trim_claims(now);
@@ -97,7 +98,7 @@
 
     fn trim_claims(&mut self, now: Timestamp) {
         self.claims.trim(now);
-        if !self.claims.holds(self.own_address) {
+        if self.claims.place_of(self.own_address).is_none() {
             self.claimed_since = None;
         } else {
             self.claimed_since.get_or_insert(now);
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -15,9 +15,10 @@
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
 //!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
-//!   [`exchange`] (peers), [`coordinator`] (these together), [`stall`] and [`readiness`].
+//!   [`exchange`] (peers), [`capacity`] (what a machine can bear), [`coordinator`] (these together), [`stall`] and [`readiness`].
 
 pub mod answers;
+pub mod capacity;
 pub mod cold;
 pub mod coordinator;
 pub mod delta;
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -100,6 +100,14 @@
             || self.directory_changed_at == Revision::default()
             || self.zones_changed_at == Revision::default()
     }
+
+    /// Whether whoever has told these versions lacks something that another one with `others` knows.
+    #[must_use]
+    pub fn lacks(self, others: Self) -> bool {
+        self.configuration < others.configuration
+            || self.directory_as_of < others.directory_changed_at
+            || self.zones_as_of < others.zones_changed_at
+    }
 }
 
 /// What changed in a node's state.
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -0,0 +1,311 @@
+//! Nodes that gossip in virtual time.
+
+use crate::support::{TOMBSTONE_LIFETIME, at, configuration, record};
+use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
+use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
+use bellyoke_core::cookie::exchange::{
+    Exchange, ExchangeEffect, ExchangeSettings, PeerDatagram, PeerKey, PeerSuggestion, StoreDuty,
+    encode_snapshot,
+};
+use bellyoke_core::cookie::follower::{Update, WatchPlan};
+use bellyoke_core::cookie::freshness::ObjectKind;
+use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId};
+use bellyoke_core::cookie::replica::{Replica, Versions};
+use bellyoke_core::cookie::revision::Revision;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub const TICK: u64 = 50;
+pub const WATCH_WAIT: u64 = 750;
+
+pub struct Node {
+    pub coordinator: Coordinator,
+    pub alive: bool,
+    pub sent: usize,
+    pub fetched: usize,
+}
+
+/// Where nodes stand.
+#[derive(Clone, Copy)]
+pub struct Layout {
+    /// Nodes stand in so many zones in turn.
+    pub zones: usize,
+    /// So many of the first nodes are larger than the others.
+    pub large: usize,
+    pub own_zone_first: bool,
+}
+
+pub const ONE_ZONE: Layout = Layout {
+    zones: 1,
+    large: 0,
+    own_zone_first: true,
+};
+
+impl Layout {
+    fn place(self, number: usize) -> NodePlace {
+        NodePlace {
+            zone: ZoneNumber(u16::try_from(number % self.zones).unwrap()),
+            class: CapacityClass::new(if number < self.large { 3 } else { 1 }),
+        }
+    }
+}
+
+/// Nodes whose messages arrive at once, driven in steps of [`TICK`] milliseconds.
+pub struct Cluster {
+    pub nodes: BTreeMap<SocketAddrV4, Node>,
+    pub now: u64,
+    pub lost: Vec<(SocketAddrV4, SocketAddrV4)>,
+    /// Whether nodes that watch the store are told that nothing is newer.
+    pub store_answers: bool,
+    pub layout: Layout,
+    /// Bytes sent of each kind, within zones and between them.
+    pub traffic: BTreeMap<&'static str, [usize; 2]>,
+}
+
+pub fn address(number: usize) -> SocketAddrV4 {
+    let [_, _, high, low] = u32::try_from(number).unwrap().to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), 7_000)
+}
+
+/// The zone in which a node stands, of so many.
+pub fn zone_of(address: SocketAddrV4, zones: usize) -> usize {
+    let [.., high, low] = address.ip().octets();
+    usize::from(u16::from_be_bytes([high, low])) % zones
+}
+
+/// The kind of a datagram, and its bytes.
+fn encoded(datagram: &PeerDatagram) -> (&'static str, usize) {
+    let key = PeerKey::default();
+    let (kind, bytes) = match datagram {
+        PeerDatagram::Heartbeat(heartbeat) => ("heartbeat", heartbeat.encode(&key)),
+        PeerDatagram::Delta(message) => ("delta", message.encode(&key)),
+        PeerDatagram::Question(question) => ("question", question.encode(&key)),
+    };
+    (kind, bytes.unwrap().len())
+}
+
+impl Cluster {
+    pub fn new(size: usize) -> Self {
+        Self::laid_out(size, ONE_ZONE)
+    }
+
+    pub fn laid_out(size: usize, layout: Layout) -> Self {
+        let mut cluster = Self {
+            nodes: BTreeMap::new(),
+            now: 0,
+            lost: Vec::new(),
+            store_answers: false,
+            layout,
+            traffic: BTreeMap::new(),
+        };
+        for number in 0..size {
+            cluster.start(number);
+        }
+        cluster
+    }
+
+    pub fn start(&mut self, number: usize) {
+        let seeds = vec![address(0), address(1), address(2)];
+        let settings = ExchangeSettings {
+            own_zone_first: self.layout.own_zone_first,
+            ..ExchangeSettings::default()
+        };
+        let seed = number as u64 + self.now * 1_000;
+        let exchange = Exchange::new(settings, address(number), seeds, seed)
+            .standing_at(self.layout.place(number));
+        let node = Node {
+            coordinator: Coordinator::new(Replica::new(TOMBSTONE_LIFETIME), exchange),
+            alive: true,
+            sent: 0,
+            fetched: 0,
+        };
+        self.nodes.insert(address(number), node);
+    }
+
+    pub fn node(&mut self, number: usize) -> &mut Node {
+        self.nodes.get_mut(&address(number)).unwrap()
+    }
+
+    pub fn learn(&mut self, number: usize, revision: u64) {
+        let now = at(self.now);
+        let node = self.node(number);
+        let configurations = Update::Whole {
+            at: Revision(revision),
+            items: vec![configuration(revision, &[("till", 1)])],
+        };
+        let mut outcome = node.coordinator.configurations(now, configurations);
+        let known = node.coordinator.known_up_to(ObjectKind::Instances);
+        let instances = if known == Revision::default() {
+            Update::Whole {
+                at: Revision(revision),
+                items: vec![record(revision, revision)],
+            }
+        } else {
+            Update::Changes {
+                at: Revision(revision),
+                events: vec![
+                    InstanceEvent::Gone(InstanceId(known.0)),
+                    InstanceEvent::Put(record(revision, revision)),
+                ],
+            }
+        };
+        let second = node.coordinator.instances(now, instances);
+        outcome.effects.extend(second.effects);
+        self.perform(address(number), outcome);
+    }
+
+    pub fn run(&mut self, milliseconds: u64) {
+        let end = self.now + milliseconds;
+        while self.now < end {
+            self.now += TICK;
+            let now = at(self.now);
+            for from in self.nodes.keys().copied().collect::<Vec<_>>() {
+                let node = self.nodes.get_mut(&from).unwrap();
+                if !node.alive {
+                    continue;
+                }
+                let (outcome, _) = node.coordinator.tick(now);
+                self.perform(from, outcome);
+                if self.now.is_multiple_of(WATCH_WAIT) {
+                    self.confirm(from);
+                }
+            }
+        }
+    }
+
+    /// The store tells a node that watches it that nothing is newer.
+    pub fn confirm(&mut self, address: SocketAddrV4) {
+        let now = at(self.now);
+        let node = self.nodes.get_mut(&address).unwrap();
+        let watches = node.coordinator.duty(now) != StoreDuty::Listener;
+        if !self.store_answers || !watches {
+            return;
+        }
+        let coordinator = &mut node.coordinator;
+        let at_revision = coordinator.known_up_to(ObjectKind::Instances);
+        let nothing = Update::Changes {
+            at: at_revision,
+            events: Vec::new(),
+        };
+        let mut outcome = coordinator.instances(now, nothing);
+        let nothing = Update::Changes {
+            at: at_revision,
+            events: Vec::new(),
+        };
+        let second = coordinator.configurations(now, nothing);
+        outcome.effects.extend(second.effects);
+        self.perform(address, outcome);
+    }
+
+    pub fn perform(&mut self, from: SocketAddrV4, outcome: Outcome) {
+        for effect in outcome.effects {
+            match effect {
+                ExchangeEffect::Send { to, heartbeat } => {
+                    self.deliver(from, to, PeerDatagram::Heartbeat(heartbeat));
+                }
+                ExchangeEffect::SendDelta {
+                    to,
+                    known,
+                    heartbeat,
+                } => {
+                    let delta = self.nodes[&from].coordinator.delta_for(at(self.now), known);
+                    let heartbeat = PeerDatagram::Heartbeat(heartbeat);
+                    self.deliver(from, to, delta.map_or(heartbeat, PeerDatagram::Delta));
+                }
+                ExchangeEffect::SendQuestion { to, question } => {
+                    self.deliver(from, to, PeerDatagram::Question(question));
+                }
+                ExchangeEffect::Fetch { from: source } => self.fetch(from, source),
+                ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
+            }
+        }
+    }
+
+    pub fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, datagram: PeerDatagram) {
+        self.nodes.get_mut(&from).unwrap().sent += 1;
+        let (kind, length) = encoded(&datagram);
+        self.count(kind, from, to, length);
+        let now = at(self.now);
+        if self.lost.contains(&(from, to)) {
+            return;
+        }
+        let Some(node) = self.nodes.get_mut(&to).filter(|node| node.alive) else {
+            return;
+        };
+        let outcome = node.coordinator.datagram(now, from, datagram);
+        self.perform(to, outcome);
+    }
+
+    pub fn fetch(&mut self, to: SocketAddrV4, from: SocketAddrV4) {
+        let now = at(self.now);
+        let request = self.nodes[&to].coordinator.fetch_request();
+        let source = self.nodes.get(&from).filter(|node| node.alive);
+        let snapshot = source.map(|node| node.coordinator.snapshot_for(now, request));
+        if let Some(snapshot) = &snapshot {
+            let length = encode_snapshot(snapshot, &PeerKey::default())
+                .unwrap()
+                .len();
+            self.count("snapshot", from, to, length);
+        }
+        let node = self.nodes.get_mut(&to).unwrap();
+        node.fetched += 1;
+        let Some(snapshot) = snapshot else {
+            node.coordinator.fetch_failed(from);
+            return;
+        };
+        let outcome = node.coordinator.snapshot(now, from, snapshot);
+        self.perform(to, outcome);
+    }
+
+    fn count(&mut self, kind: &'static str, from: SocketAddrV4, to: SocketAddrV4, length: usize) {
+        let crosses = zone_of(from, self.layout.zones) != zone_of(to, self.layout.zones);
+        self.traffic.entry(kind).or_default()[usize::from(crosses)] += length;
+    }
+
+    pub fn versions(&self, node: &Node) -> Versions {
+        node.coordinator.replica().versions()
+    }
+
+    pub fn knowing(&self, revision: u64) -> usize {
+        let knows =
+            |node: &&Node| node.alive && self.versions(node).configuration >= Revision(revision);
+        self.nodes.values().filter(knows).count()
+    }
+
+    pub fn with_duty(&self, wanted: StoreDuty) -> Vec<SocketAddrV4> {
+        let nodes = self.nodes.iter();
+        let found =
+            nodes.filter(|(_, node)| node.alive && node.coordinator.duty(at(self.now)) == wanted);
+        found.map(|(address, _)| *address).collect()
+    }
+
+    pub fn resting(&self) -> usize {
+        let rests = |node: &&Node| {
+            let plan = node
+                .coordinator
+                .watch_plan(at(self.now), ObjectKind::Instances);
+            matches!(plan, WatchPlan::RestUntil(until) if until > at(self.now))
+        };
+        self.nodes.values().filter(rests).count()
+    }
+}
+
+pub fn watched(size: usize) -> Cluster {
+    watched_in(size, ONE_ZONE)
+}
+
+/// Nodes that know a configuration and watch the store.
+pub fn watched_in(size: usize, layout: Layout) -> Cluster {
+    let mut cluster = Cluster::laid_out(size, layout);
+    cluster.store_answers = true;
+    cluster.learn(0, 5);
+    cluster.run(10_000);
+    cluster
+}
+
+pub fn suggestion(number: usize) -> PeerSuggestion {
+    PeerSuggestion {
+        address: address(number),
+        place: NodePlace::default(),
+    }
+}
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -1,6 +1,8 @@
 //! Gossip between nodes, in virtual time.
 
-use crate::support::{TOMBSTONE_LIFETIME, at, configuration, record};
+use crate::cluster::{Cluster, TICK, address, suggestion, watched};
+use crate::support::{TOMBSTONE_LIFETIME, at, configuration};
+use bellyoke_core::cookie::capacity::NodePlace;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, PeerDatagram, StoreDuty, WATCHERS,
@@ -8,221 +10,10 @@
 };
 use bellyoke_core::cookie::follower::{Freshness, Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
-use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceId};
+use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::replica::{Replica, Versions};
 use bellyoke_core::cookie::revision::Revision;
-use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddrV4};
-
-const TICK: u64 = 50;
-const WATCH_WAIT: u64 = 750;
-
-struct Node {
-    coordinator: Coordinator,
-    alive: bool,
-    sent: usize,
-    fetched: usize,
-}
-
-/// Nodes whose messages arrive at once, driven in steps of [`TICK`] milliseconds.
-struct Cluster {
-    nodes: BTreeMap<SocketAddrV4, Node>,
-    now: u64,
-    lost: Vec<(SocketAddrV4, SocketAddrV4)>,
-    /// Whether nodes that watch the store are told that nothing is newer.
-    store_answers: bool,
-}
-
-fn address(number: usize) -> SocketAddrV4 {
-    let [_, _, high, low] = u32::try_from(number).unwrap().to_be_bytes();
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), 7_000)
-}
-
-impl Cluster {
-    fn new(size: usize) -> Self {
-        let mut cluster = Self {
-            nodes: BTreeMap::new(),
-            now: 0,
-            lost: Vec::new(),
-            store_answers: false,
-        };
-        for number in 0..size {
-            cluster.start(number);
-        }
-        cluster
-    }
-
-    fn start(&mut self, number: usize) {
-        let seeds = vec![address(0), address(1), address(2)];
-        let exchange = Exchange::new(
-            ExchangeSettings::default(),
-            address(number),
-            seeds,
-            number as u64 + self.now * 1_000,
-        );
-        let node = Node {
-            coordinator: Coordinator::new(Replica::new(TOMBSTONE_LIFETIME), exchange),
-            alive: true,
-            sent: 0,
-            fetched: 0,
-        };
-        self.nodes.insert(address(number), node);
-    }
-
-    fn node(&mut self, number: usize) -> &mut Node {
-        self.nodes.get_mut(&address(number)).unwrap()
-    }
-
-    fn learn(&mut self, number: usize, revision: u64) {
-        let now = at(self.now);
-        let node = self.node(number);
-        let configurations = Update::Whole {
-            at: Revision(revision),
-            items: vec![configuration(revision, &[("till", 1)])],
-        };
-        let mut outcome = node.coordinator.configurations(now, configurations);
-        let known = node.coordinator.known_up_to(ObjectKind::Instances);
-        let instances = if known == Revision::default() {
-            Update::Whole {
-                at: Revision(revision),
-                items: vec![record(revision, revision)],
-            }
-        } else {
-            Update::Changes {
-                at: Revision(revision),
-                events: vec![
-                    InstanceEvent::Gone(InstanceId(known.0)),
-                    InstanceEvent::Put(record(revision, revision)),
-                ],
-            }
-        };
-        let second = node.coordinator.instances(now, instances);
-        outcome.effects.extend(second.effects);
-        self.perform(address(number), outcome);
-    }
-
-    fn run(&mut self, milliseconds: u64) {
-        let end = self.now + milliseconds;
-        while self.now < end {
-            self.now += TICK;
-            let now = at(self.now);
-            for from in self.nodes.keys().copied().collect::<Vec<_>>() {
-                let node = self.nodes.get_mut(&from).unwrap();
-                if !node.alive {
-                    continue;
-                }
-                let (outcome, _) = node.coordinator.tick(now);
-                self.perform(from, outcome);
-                if self.now.is_multiple_of(WATCH_WAIT) {
-                    self.confirm(from);
-                }
-            }
-        }
-    }
-
-    /// The store tells a node that watches it that nothing is newer.
-    fn confirm(&mut self, address: SocketAddrV4) {
-        let now = at(self.now);
-        let node = self.nodes.get_mut(&address).unwrap();
-        let watches = node.coordinator.duty(now) != StoreDuty::Listener;
-        if !self.store_answers || !watches {
-            return;
-        }
-        let coordinator = &mut node.coordinator;
-        let at_revision = coordinator.known_up_to(ObjectKind::Instances);
-        let nothing = Update::Changes {
-            at: at_revision,
-            events: Vec::new(),
-        };
-        let mut outcome = coordinator.instances(now, nothing);
-        let nothing = Update::Changes {
-            at: at_revision,
-            events: Vec::new(),
-        };
-        let second = coordinator.configurations(now, nothing);
-        outcome.effects.extend(second.effects);
-        self.perform(address, outcome);
-    }
-
-    fn perform(&mut self, from: SocketAddrV4, outcome: Outcome) {
-        for effect in outcome.effects {
-            match effect {
-                ExchangeEffect::Send { to, heartbeat } => {
-                    self.deliver(from, to, PeerDatagram::Heartbeat(heartbeat));
-                }
-                ExchangeEffect::SendDelta {
-                    to,
-                    known,
-                    heartbeat,
-                } => {
-                    let delta = self.nodes[&from].coordinator.delta_for(at(self.now), known);
-                    let heartbeat = PeerDatagram::Heartbeat(heartbeat);
-                    self.deliver(from, to, delta.map_or(heartbeat, PeerDatagram::Delta));
-                }
-                ExchangeEffect::SendQuestion { to, question } => {
-                    self.deliver(from, to, PeerDatagram::Question(question));
-                }
-                ExchangeEffect::Fetch { from: source } => self.fetch(from, source),
-                ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
-            }
-        }
-    }
-
-    fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, datagram: PeerDatagram) {
-        self.nodes.get_mut(&from).unwrap().sent += 1;
-        let now = at(self.now);
-        if self.lost.contains(&(from, to)) {
-            return;
-        }
-        let Some(node) = self.nodes.get_mut(&to).filter(|node| node.alive) else {
-            return;
-        };
-        let outcome = node.coordinator.datagram(now, from, datagram);
-        self.perform(to, outcome);
-    }
-
-    fn fetch(&mut self, to: SocketAddrV4, from: SocketAddrV4) {
-        let now = at(self.now);
-        let request = self.nodes[&to].coordinator.fetch_request();
-        let source = self.nodes.get(&from).filter(|node| node.alive);
-        let snapshot = source.map(|node| node.coordinator.snapshot_for(now, request));
-        let node = self.nodes.get_mut(&to).unwrap();
-        node.fetched += 1;
-        let Some(snapshot) = snapshot else {
-            node.coordinator.fetch_failed(from);
-            return;
-        };
-        let outcome = node.coordinator.snapshot(now, from, snapshot);
-        self.perform(to, outcome);
-    }
-
-    fn versions(&self, node: &Node) -> Versions {
-        node.coordinator.replica().versions()
-    }
-
-    fn knowing(&self, revision: u64) -> usize {
-        let knows =
-            |node: &&Node| node.alive && self.versions(node).configuration >= Revision(revision);
-        self.nodes.values().filter(knows).count()
-    }
-
-    fn with_duty(&self, wanted: StoreDuty) -> Vec<SocketAddrV4> {
-        let nodes = self.nodes.iter();
-        let found =
-            nodes.filter(|(_, node)| node.alive && node.coordinator.duty(at(self.now)) == wanted);
-        found.map(|(address, _)| *address).collect()
-    }
-
-    fn resting(&self) -> usize {
-        let rests = |node: &&Node| {
-            let plan = node
-                .coordinator
-                .watch_plan(at(self.now), ObjectKind::Instances);
-            matches!(plan, WatchPlan::RestUntil(until) if until > at(self.now))
-        };
-        self.nodes.values().filter(rests).count()
-    }
-}
+use std::net::SocketAddrV4;
 
 #[test]
 fn what_one_node_knows_all_know_within_a_second() {
@@ -344,13 +135,16 @@
             versions: Versions::default(),
             leaving: false,
             confirmed_age_milliseconds: None,
+            place: NodePlace::default(),
             claims: vec![WatcherClaim {
                 address: address(number),
+                place: NodePlace::default(),
                 age_milliseconds: 0,
             }],
             peers: (0..6)
-                .map(|other| address(2_000 + number * 6 + other))
+                .map(|other| suggestion(2_000 + number * 6 + other))
                 .collect(),
+            zones: Vec::new(),
             failing: Vec::new(),
         };
         let coordinator = &mut cluster.node(0).coordinator;
@@ -359,14 +153,6 @@
     assert_eq!(cluster.node(0).coordinator.exchange().peers().count(), 256);
 }
 
-fn watched(size: usize) -> Cluster {
-    let mut cluster = Cluster::new(size);
-    cluster.store_answers = true;
-    cluster.learn(0, 5);
-    cluster.run(10_000);
-    cluster
-}
-
 #[test]
 fn one_node_reads_and_two_back_it_up_whatever_the_size() {
     for size in [3, 10, 200] {
@@ -522,8 +308,10 @@
         versions: peer.replica().versions(),
         leaving: false,
         confirmed_age_milliseconds: None,
+        place: NodePlace::default(),
         claims: Vec::new(),
         peers: Vec::new(),
+        zones: Vec::new(),
         failing: Vec::new(),
     };
     let datagram = PeerDatagram::Heartbeat(heartbeat);
@@ -559,8 +347,10 @@
         },
         leaving: false,
         confirmed_age_milliseconds: Some(age),
+        place: NodePlace::default(),
         claims: Vec::new(),
-        peers: vec![address(usize::from(number)); 6],
+        peers: vec![suggestion(usize::from(number)); 6],
+        zones: Vec::new(),
         failing: Vec::new(),
     };
     let heartbeats = (1..=200).map(heartbeat).collect::<Vec<_>>();
@@ -618,8 +408,10 @@
         },
         leaving: false,
         confirmed_age_milliseconds: None,
+        place: NodePlace::default(),
         claims: Vec::new(),
-        peers: vec![address(1), address(2), address(3)],
+        peers: [1, 2, 3].map(suggestion).to_vec(),
+        zones: Vec::new(),
         failing: Vec::new(),
     };
     let datagram = PeerDatagram::Heartbeat(heartbeat);
@@ -677,8 +469,10 @@
             versions,
             leaving: false,
             confirmed_age_milliseconds: Some(age),
+            place: NodePlace::default(),
             claims: Vec::new(),
             peers: Vec::new(),
+            zones: Vec::new(),
             failing: Vec::new(),
         })
     };
@@ -718,11 +512,14 @@
         versions: peer.replica().versions(),
         leaving: false,
         confirmed_age_milliseconds: Some(3_000),
+        place: NodePlace::default(),
         claims: vec![WatcherClaim {
             address: address(77),
+            place: NodePlace::default(),
             age_milliseconds: 4_900,
         }],
         peers: Vec::new(),
+        zones: Vec::new(),
         failing: Vec::new(),
     };
     let datagram = PeerDatagram::Heartbeat(heartbeat);
@@ -814,8 +611,10 @@
         },
         leaving: false,
         confirmed_age_milliseconds: None,
+        place: NodePlace::default(),
         claims: Vec::new(),
-        peers: vec![address(1), address(2), address(3)],
+        peers: [1, 2, 3].map(suggestion).to_vec(),
+        zones: Vec::new(),
         failing: Vec::new(),
     };
     let mut hear = |now, from, directory| {
@@ -849,8 +648,10 @@
                 versions: Versions::default(),
                 leaving: false,
                 confirmed_age_milliseconds: None,
+                place: NodePlace::default(),
                 claims: Vec::new(),
                 peers: Vec::new(),
+                zones: Vec::new(),
                 failing: Vec::new(),
             };
             let datagram = PeerDatagram::Heartbeat(heartbeat);
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -0,0 +1,379 @@
+//! Gossip within and between zones: what it costs, and that no zone is left behind.
+
+use crate::cluster::{Cluster, Layout, ONE_ZONE, TICK, address, watched, watched_in, zone_of};
+use crate::support::at;
+use bellyoke_core::cookie::capacity::{CapacityClass, MachineCapacity, NodePlace, ZoneNumber};
+use bellyoke_core::cookie::exchange::{
+    Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, StoreDuty, WATCHERS,
+};
+use bellyoke_core::cookie::replica::Versions;
+use bellyoke_core::cookie::revision::Revision;
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use twox_hash::XxHash3_64;
+
+fn zones(zones: usize) -> Layout {
+    Layout { zones, ..ONE_ZONE }
+}
+
+fn without_zones(zones: usize) -> Layout {
+    Layout {
+        zones,
+        own_zone_first: false,
+        ..ONE_ZONE
+    }
+}
+
+/// Bytes between zones in ten seconds in which the configuration and an instance change twice a second.
+fn bytes_between_zones(size: usize, layout: Layout) -> usize {
+    let mut cluster = watched_in(size, layout);
+    cluster.traffic.clear();
+    for change in 0..20 {
+        cluster.learn(change % size, 100 + change as u64);
+        cluster.run(500);
+    }
+    cluster.traffic.values().map(|[_, between]| between).sum()
+}
+
+/// Milliseconds until all know each of some changes, the mean and the longest.
+fn times_until_all_know(size: usize, layout: Layout) -> (u64, u64) {
+    let mut cluster = watched_in(size, layout);
+    let mut times = Vec::new();
+    for change in 0..20 {
+        let revision = 100 + change as u64;
+        cluster.learn(change * 7 % size, revision);
+        let began = cluster.now;
+        while cluster.knowing(revision) < size {
+            cluster.run(TICK);
+        }
+        times.push(cluster.now - began);
+        cluster.run(1_000);
+    }
+    let mean = times.iter().sum::<u64>() / times.len() as u64;
+    (mean, times.into_iter().max().unwrap())
+}
+
+/// Between 30 and 300 nodes it grows by what the small zones of 30 save: a zone of ten has fewer nodes than would tell others.
+#[test]
+fn bytes_between_zones_grow_with_zones_and_not_with_nodes() {
+    for count in [3, 6] {
+        let bytes = [30, 100, 300].map(|size| bytes_between_zones(size, zones(count)));
+        println!("{count} zones: {bytes:?}");
+        assert!(bytes[2] * 10 < bytes[0] * 15, "{count} zones: {bytes:?}");
+        assert!(bytes[2] * 10 < bytes[1] * 13, "{count} zones: {bytes:?}");
+    }
+    let alike = [30, 300].map(|size| bytes_between_zones(size, without_zones(3)));
+    println!("off: {alike:?}");
+    assert!(alike[1] > alike[0] * 5, "without the setting: {alike:?}");
+}
+
+#[test]
+fn a_change_reaches_all_zones_as_soon_as_without_them() {
+    for (size, count) in [(30, 3), (100, 6), (300, 3)] {
+        let (mean, longest) = times_until_all_know(size, zones(count));
+        let (mean_without, longest_without) = times_until_all_know(size, without_zones(count));
+        println!(
+            "{size} nodes in {count}: {mean} {longest}, off: {mean_without} {longest_without}"
+        );
+        assert!(mean <= mean_without + TICK && longest <= longest_without.max(1_000));
+    }
+}
+
+#[test]
+fn zones_of_one_node_and_a_zone_larger_than_the_others_hear_all() {
+    for (size, count) in [(6, 6), (7, 6), (2, 2)] {
+        let (_, longest) = times_until_all_know(size, zones(count));
+        assert!(
+            longest <= 1_000,
+            "{longest} ms, {size} nodes in {count} zones"
+        );
+    }
+}
+
+#[test]
+fn a_zone_whose_nodes_all_start_again_learns_all_from_others() {
+    let mut cluster = watched_in(60, zones(3));
+    cluster.learn(1, 50);
+    cluster.run(2_000);
+    for number in (0..60).step_by(3) {
+        cluster.start(number);
+    }
+    cluster.run(1_500);
+    assert_eq!(cluster.knowing(50), 60);
+}
+
+/// The first of a zone to hear it is killed in the same moment; nobody was chosen to tell the zone instead.
+#[test]
+fn a_zone_whose_only_informed_node_dies_hears_from_others() {
+    for dying in [1, 4, 22] {
+        let mut cluster = watched_in(60, zones(3));
+        let others: Vec<SocketAddrV4> = cluster.nodes.keys().copied().collect();
+        for other in others {
+            cluster.lost.push((address(dying), other));
+        }
+        cluster.learn(dying, 50);
+        cluster.run(TICK);
+        assert_eq!(cluster.knowing(50), 1, "it told nobody");
+        cluster.node(dying).alive = false;
+        cluster.lost.clear();
+        cluster.learn(2, 50);
+        cluster.run(1_500);
+        assert_eq!(cluster.knowing(50), 59);
+    }
+}
+
+/// Loses all messages between the first zone and the others.
+fn cut_first_zone(cluster: &mut Cluster) {
+    let count = cluster.layout.zones;
+    let nodes: Vec<SocketAddrV4> = cluster.nodes.keys().copied().collect();
+    for from in &nodes {
+        let crossing = nodes
+            .iter()
+            .filter(|to| (zone_of(*from, count) == 0) != (zone_of(**to, count) == 0));
+        cluster.lost.extend(crossing.map(|to| (*from, *to)));
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_watches_by_itself_and_joins_again() {
+    let mut cluster = watched_in(60, zones(3));
+    cut_first_zone(&mut cluster);
+    cluster.run(12_000);
+    let watching: BTreeSet<usize> = [StoreDuty::Reader, StoreDuty::Backup]
+        .into_iter()
+        .flat_map(|duty| cluster.with_duty(duty))
+        .map(|address| usize::from(zone_of(address, 3) == 0))
+        .collect();
+    assert_eq!(watching.len(), 2, "both parts watch the store");
+    cluster.learn(1, 50);
+    cluster.run(2_000);
+    assert_eq!(cluster.knowing(50), 40);
+    cluster.lost.clear();
+    cluster.run(3_000);
+    assert_eq!(cluster.knowing(50), 60);
+    cluster.run(5_000);
+    assert_eq!(cluster.with_duty(StoreDuty::Reader).len(), 1);
+}
+
+#[test]
+fn nodes_of_all_zones_rest_while_a_few_watch() {
+    for count in [3, 6] {
+        let mut cluster = watched_in(120, zones(count));
+        let mut rested = 0;
+        for _ in 0..40 {
+            cluster.run(TICK);
+            rested += cluster.resting();
+        }
+        let possible = 40 * (120 - WATCHERS);
+        assert!(rested * 100 >= possible * 95, "{rested} of {possible}");
+    }
+}
+
+#[test]
+fn the_largest_machines_watch_spread_over_zones() {
+    for count in [1, 3] {
+        let layout = Layout {
+            large: 6,
+            ..zones(count)
+        };
+        let cluster = watched_in(90, layout);
+        let mut watching = cluster.with_duty(StoreDuty::Reader);
+        watching.extend(cluster.with_duty(StoreDuty::Backup));
+        assert_eq!(watching.len(), WATCHERS);
+        let large: Vec<SocketAddrV4> = (0..6).map(address).collect();
+        assert!(watching.iter().all(|node| large.contains(node)));
+        let places: BTreeSet<usize> = watching.iter().map(|node| zone_of(*node, count)).collect();
+        assert_eq!(places.len(), count.min(WATCHERS));
+    }
+}
+
+#[test]
+fn equal_machines_of_one_zone_are_drawn_by_hash_alone() {
+    let mut by_hash: Vec<SocketAddrV4> = (0..20).map(address).collect();
+    by_hash.sort_by_key(|address| {
+        let mut bytes = address.ip().octets().to_vec();
+        bytes.extend(address.port().to_be_bytes());
+        XxHash3_64::oneshot_with_seed(0x7265_6164_6572_0001, &bytes)
+    });
+    let cluster = watched(20);
+    assert_eq!(cluster.with_duty(StoreDuty::Reader), by_hash[..1]);
+    let backups: BTreeSet<_> = cluster.with_duty(StoreDuty::Backup).into_iter().collect();
+    assert_eq!(backups, by_hash[1..3].iter().copied().collect());
+}
+
+#[test]
+fn a_watcher_that_is_busy_gives_way_and_comes_back() {
+    let layout = Layout {
+        large: 4,
+        ..zones(3)
+    };
+    let mut cluster = watched_in(30, layout);
+    let reader = cluster.with_duty(StoreDuty::Reader)[0];
+    let node = |cluster: &mut Cluster| -> usize {
+        (0..30)
+            .find(|number| address(*number) == reader)
+            .map_or(0, |number| {
+                let now = at(cluster.now);
+                usize::from(cluster.node(number).coordinator.duty(now) != StoreDuty::Listener)
+            })
+    };
+    let number = (0..30).find(|number| address(*number) == reader).unwrap();
+    cluster.node(number).coordinator.set_link_paced(true);
+    cluster.run(600);
+    assert_eq!(node(&mut cluster), 0, "it has given way");
+    cluster.run(8_000);
+    assert_eq!(cluster.with_duty(StoreDuty::Reader).len(), 1);
+    assert_eq!(cluster.with_duty(StoreDuty::Backup).len(), WATCHERS - 1);
+    assert!(!cluster.with_duty(StoreDuty::Backup).contains(&reader));
+    cluster.node(number).coordinator.set_link_paced(false);
+    cluster.run(8_000);
+    assert_eq!(node(&mut cluster), 1, "it has come back");
+}
+
+/// If all have too much to do, some watch all the same.
+#[test]
+fn where_all_are_busy_three_watch() {
+    let mut cluster = watched_in(30, zones(3));
+    for number in 0..30 {
+        cluster.node(number).coordinator.set_link_paced(true);
+    }
+    cluster.run(10_000);
+    assert_eq!(cluster.with_duty(StoreDuty::Reader).len(), 1);
+    assert_eq!(cluster.with_duty(StoreDuty::Backup).len(), WATCHERS - 1);
+}
+
+fn heartbeat_of(zone: u16, class: CapacityClass, revision: u64) -> Heartbeat {
+    let known = Revision(revision);
+    Heartbeat {
+        versions: Versions {
+            configuration: known,
+            configuration_as_of: known,
+            directory_changed_at: known,
+            directory_as_of: known,
+            zones_changed_at: known,
+            zones_as_of: known,
+        },
+        leaving: false,
+        confirmed_age_milliseconds: None,
+        place: NodePlace {
+            zone: ZoneNumber(zone),
+            class,
+        },
+        claims: Vec::new(),
+        peers: Vec::new(),
+        zones: Vec::new(),
+        failing: Vec::new(),
+    }
+}
+
+fn lone_exchange(seed: u64) -> Exchange {
+    Exchange::new(ExchangeSettings::default(), address(0), Vec::new(), seed)
+}
+
+/// From whom a node that knows nothing fetches first, and from whom once that has failed.
+fn sources(seed: u64, peers: &[(usize, u16, CapacityClass)]) -> Vec<SocketAddrV4> {
+    let mut exchange = lone_exchange(seed);
+    let nothing = Versions::default();
+    for (number, zone, class) in peers {
+        let heartbeat = heartbeat_of(*zone, *class, 9);
+        exchange.heartbeat(at(10_000), address(*number), &heartbeat, nothing, |_| false);
+        // What it asks at once of the first that it hears is over.
+        exchange.fetched(address(*number), nothing);
+    }
+    let mut sources = Vec::new();
+    for now in (10_000..20_000).step_by(100) {
+        let behind = |versions: Versions| !versions.is_empty();
+        for effect in exchange.tick(at(now), nothing, behind) {
+            if let ExchangeEffect::Fetch { from } = effect {
+                exchange.fetch_failed(from);
+                sources.push(from);
+            }
+        }
+        if sources.len() >= peers.len() {
+            break;
+        }
+    }
+    sources
+}
+
+#[test]
+fn the_own_zone_is_asked_first_and_others_when_it_fails() {
+    let class = CapacityClass::LEAST;
+    for seed in 0..20 {
+        let peers = [(1, 7, class), (2, 0, class), (3, 8, class)];
+        let sources = sources(seed, &peers);
+        assert_eq!(sources.len(), 3);
+        assert_eq!(sources[0], address(2));
+    }
+}
+
+#[test]
+fn larger_machines_are_asked_for_snapshots_by_what_they_bear() {
+    let large = CapacityClass::new(4);
+    let peers = [
+        (1, 0, CapacityClass::LEAST),
+        (2, 0, large),
+        (3, 0, CapacityClass::BUSY),
+    ];
+    let firsts = (0..1_000).map(|seed| sources(seed, &peers)[0]);
+    let counts = firsts.fold([0; 4], |mut counts, from| {
+        counts[(1..4).find(|number| address(*number) == from).unwrap()] += 1;
+        counts
+    });
+    // Weights of 2, 16 and 1.
+    assert!(
+        counts[2] > counts[1] * 5 && counts[1] > counts[3],
+        "{counts:?}"
+    );
+}
+
+/// A table that is full of the own zone still knows some of each other zone.
+#[test]
+fn peers_of_other_zones_keep_their_place_in_a_full_table() {
+    let mut exchange = lone_exchange(1);
+    let own = Versions::default();
+    let mut hear = |number: usize, zone: u16| {
+        let heartbeat = heartbeat_of(zone, CapacityClass::LEAST, 0);
+        let now = at(10_000 + number as u64);
+        exchange.heartbeat(now, address(number), &heartbeat, own, |_| false);
+    };
+    for number in 1..=40 {
+        hear(number, 1 + number as u16 % 2);
+    }
+    for number in 41..2_000 {
+        hear(number, 0);
+    }
+    let mut counts = [0; 3];
+    for (_, peer) in exchange.peers() {
+        counts[usize::from(peer.place.zone.0)] += 1;
+    }
+    assert_eq!(counts.iter().sum::<usize>(), 256);
+    assert_eq!(counts[1..], [20, 20]);
+}
+
+#[test]
+fn the_scarcest_of_what_a_machine_has_tells_its_class() {
+    let machine = |cores, memory_mb, link_mbps| {
+        let capacity = MachineCapacity {
+            cores: Some(cores),
+            memory_mb: Some(memory_mb),
+            link_mbps: Some(link_mbps),
+        };
+        capacity.class()
+    };
+    let large = machine(0.5, 512.0, 200.0);
+    let small = [
+        machine(0.12, 160.0, 10.0),
+        machine(0.084, 112.0, 10.0),
+        machine(16.0, 16_000.0, 10.0),
+    ];
+    assert_eq!(small, [CapacityClass::LEAST; 3]);
+    assert!(large > CapacityClass::LEAST && CapacityClass::LEAST > CapacityClass::BUSY);
+    assert_eq!(machine(1e9, 1e9, 1e9), CapacityClass::LARGEST);
+    let unknown = MachineCapacity {
+        link_mbps: None,
+        cores: Some(64.0),
+        memory_mb: Some(64_000.0),
+    };
+    assert_eq!(unknown.class(), CapacityClass::LEAST);
+}
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -1,9 +1,11 @@
 //! Forwarding by connection cookie: each invariant of [`bellyoke_core::cookie`].
 
+mod cluster;
 mod cold;
 mod directory;
 mod ended_instances;
 mod exchange;
+mod exchange_zones;
 mod flows;
 mod follower;
 mod forwarder;
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -1,10 +1,11 @@
 //! Nothing that a peer sends is trusted.
 
 use crate::support::{at, configuration, node, of_service, record};
+use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
 use bellyoke_core::cookie::exchange::{
     DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
-    MAXIMUM_HEARTBEAT_LENGTH, PeerDatagram, PeerKey, Question, WatcherClaim, decode_snapshot,
-    encode_snapshot,
+    MAXIMUM_HEARTBEAT_LENGTH, PeerDatagram, PeerKey, PeerSuggestion, Question, WatcherClaim,
+    ZoneSize, decode_snapshot, encode_snapshot,
 };
 use bellyoke_core::cookie::instance::InstanceEvent;
 use bellyoke_core::cookie::replica::{Snapshot, Versions};
@@ -14,6 +15,10 @@
 
 fn heartbeat(peers: u8) -> Heartbeat {
     let address = |last| SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7_000);
+    let place = NodePlace {
+        zone: ZoneNumber(u16::MAX),
+        class: CapacityClass::LARGEST,
+    };
     Heartbeat {
         versions: Versions {
             configuration: Revision(u64::MAX),
@@ -25,13 +30,27 @@
         },
         leaving: false,
         confirmed_age_milliseconds: Some(750),
+        place,
         claims: (0..3)
             .map(|last| WatcherClaim {
                 address: address(last),
+                place,
                 age_milliseconds: 40,
             })
             .collect(),
-        peers: (0..peers).map(address).collect(),
+        peers: (0..peers)
+            .map(|last| PeerSuggestion {
+                address: address(last),
+                place,
+            })
+            .collect(),
+        zones: (0..8)
+            .map(|zone| ZoneSize {
+                zone: ZoneNumber(zone),
+                nodes: u16::MAX,
+                age_milliseconds: u32::MAX,
+            })
+            .collect(),
         failing: (0..32).collect(),
     }
 }
@@ -136,6 +155,7 @@
     let key = PeerKey::new([7; 32]);
     let request = FetchRequest {
         known: heartbeat(0).versions,
+        zone: ZoneNumber(u16::MAX),
     };
     let bytes = request.encode(&key).unwrap();
     assert_eq!(FetchRequest::decode(&bytes, &key), Ok(request));
--- a/crates/bellyoke-core/tests/cookie/reachability.rs
+++ b/crates/bellyoke-core/tests/cookie/reachability.rs
@@ -1,6 +1,7 @@
 //! What probes establish, and which flows are ended for it.
 
 use crate::support::{TOMBSTONE_LIFETIME, at, configuration, later, node, opening, record};
+use bellyoke_core::cookie::capacity::NodePlace;
 use bellyoke_core::cookie::coordinator::Coordinator;
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, PeerDatagram, Question,
@@ -240,8 +241,10 @@
         versions: Versions::default(),
         leaving: false,
         confirmed_age_milliseconds: None,
+        place: NodePlace::default(),
         claims: Vec::new(),
         peers: Vec::new(),
+        zones: Vec::new(),
         failing: Vec::new(),
     };
     coordinator.datagram(at(10), peer(), PeerDatagram::Heartbeat(heartbeat));
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -3,6 +3,7 @@
 use super::packet::Packet;
 use super::scenario::Ablation;
 use super::store::StoreAnswer;
+use bellyoke_core::cookie::capacity::NodePlace;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
 use bellyoke_core::cookie::exchange::{
     DeltaMessage, Exchange, ExchangeEffect, ExchangeSettings, FetchRequest, PeerDatagram, StoreDuty,
@@ -108,6 +109,7 @@
         now: Timestamp,
         address: SocketAddrV4,
         seeds: Vec<SocketAddrV4>,
+        place: NodePlace,
         exchange: ExchangeSettings,
         ablations: Vec<Ablation>,
         seed: u64,
@@ -137,7 +139,7 @@
             ablations,
             coordinator: Coordinator::new(
                 replica(&exchange, tombstone_lifetime),
-                Exchange::new(exchange, address, seeds, seed),
+                Exchange::new(exchange, address, seeds, seed).standing_at(place),
             ),
             table: ForwardingTable::default(),
             forwarder: Forwarder::new(health),
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -3,6 +3,7 @@
 use super::link::LinkSettings;
 use super::router::RouterHash;
 use super::store::StoreMode;
+use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
 use bellyoke_core::cookie::exchange::ExchangeSettings;
 use bellyoke_core::cookie::route::{Configuration, Route, RouteTerms, WeightedService};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -146,6 +147,10 @@
 pub struct Scenario {
     /// Nodes.
     pub nodes: usize,
+    /// Zones in which they stand in turn.
+    pub node_zones: usize,
+    /// So many of the first are larger than the others.
+    pub large_nodes: usize,
     /// How routers choose.
     pub hash: RouterHash,
     /// Targets of each service.
@@ -181,6 +186,8 @@
         Self {
             exchange,
             nodes: 5,
+            node_zones: 1,
+            large_nodes: 0,
             hash: RouterHash::Modulo,
             targets: vec![8, 3],
             long_clients: 24,
@@ -211,6 +218,20 @@
         self
     }
 
+    /// Where a node stands.
+    #[must_use]
+    pub fn place_of(&self, node: usize) -> NodePlace {
+        let class = if node < self.large_nodes {
+            CapacityClass::LARGEST
+        } else {
+            CapacityClass::LEAST
+        };
+        NodePlace {
+            zone: ZoneNumber::of(&zone_name(node % self.node_zones.max(1))),
+            class,
+        }
+    }
+
     /// Whether a mechanism is taken out.
     #[must_use]
     pub fn lacks(&self, ablation: Ablation) -> bool {
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -112,6 +112,7 @@
             self.now,
             peer_address(node),
             seeds,
+            self.scenario.place_of(node),
             self.scenario.exchange,
             self.scenario.ablations.clone(),
             self.random.random(),
--- a/crates/bellyoke-node/src/connection/peers.rs
+++ b/crates/bellyoke-node/src/connection/peers.rs
@@ -96,6 +96,7 @@
             && self.socket.try_send_to(&bytes, to.into()).is_ok()
         {
             control.metrics().heartbeats_sent.inc();
+            control.count_sent("heartbeat", to, bytes.len());
         }
     }
 
@@ -105,6 +106,7 @@
             && self.socket.try_send_to(&bytes, to.into()).is_ok()
         {
             control.metrics().questions_sent.inc();
+            control.count_sent("question", to, bytes.len());
         }
     }
 
@@ -119,6 +121,7 @@
         };
         if self.socket.try_send_to(&bytes, to.into()).is_ok() {
             control.metrics().deltas_sent.inc();
+            control.count_sent("delta", to, bytes.len());
         }
         true
     }
@@ -184,7 +187,9 @@
     let bytes = {
         let control = control.borrow();
         let request = FetchRequest::decode(&asked, control.peer_key())?;
-        encode_snapshot(&control.snapshot_for(request), control.peer_key())?
+        let bytes = encode_snapshot(&control.snapshot_for(request), control.peer_key())?;
+        control.count_sent_to("snapshot", Some(request.zone), bytes.len());
+        bytes
     };
     write_patiently(&mut stream, &bytes, SERVE_PATIENCE).await?;
     Ok(())
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -273,6 +273,9 @@
             return;
         }
         self.was_paced = rate.is_some();
+        self.shared
+            .link_paced
+            .store(rate.is_some(), Ordering::Relaxed);
         match rate {
             Some(rate) => self.limiter.log(
                 EventCode::LinkPaced,
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -64,6 +64,7 @@
     asked: Arc<Notify>,
     was_ready: bool,
     last_duty: StoreDuty,
+    was_busy: bool,
 }
 
 impl Control {
@@ -74,6 +75,7 @@
         let exchange_settings = ExchangeSettings {
             freshness_bound: settings.timing.freshness_bound(),
             reads_zones: settings.timing.reads_zones(),
+            own_zone_first: settings.exchange.own_zone_first,
             ..ExchangeSettings::default()
         };
         let exchange = Exchange::new(
@@ -81,7 +83,8 @@
             settings.node.peer_address,
             settings.peer_seeds(),
             random.random(),
-        );
+        )
+        .standing_at(settings.place());
         Self {
             clock: shared.clock,
             coordinator: Coordinator::new(replica(&settings.timing), exchange),
@@ -95,6 +98,7 @@
             asked: Arc::default(),
             was_ready: false,
             last_duty: StoreDuty::Listener,
+            was_busy: false,
             shared,
         }
     }
@@ -310,6 +314,8 @@
     /// Time has passed.
     pub fn tick(&mut self) -> Vec<ExchangeEffect> {
         let now = self.clock.now();
+        let paced = self.shared.link_paced.load(Ordering::Relaxed);
+        self.coordinator.set_link_paced(paced);
         let (outcome, stalled) = self.coordinator.tick(now);
         self.shared.tick(now, stalled.is_some());
         if let Some(gap) = stalled {
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -1,8 +1,10 @@
 //! What the control thread tells of itself: log lines for changed beliefs, and gauges.
 
-use super::super::metrics::ProbeLabels;
+use super::super::metrics::{PeerBytesLabels, ProbeLabels};
 use super::Control;
 use bellyoke_api::event_code::EventCode;
+use bellyoke_core::cookie::capacity::ZoneNumber;
+use bellyoke_core::cookie::exchange::StoreDuty;
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
@@ -10,6 +12,7 @@
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
 use std::net::SocketAddrV4;
+use std::sync::atomic::Ordering;
 
 /// The gauge of the confirmation's age while there is none.
 const NEVER_CONFIRMED: i64 = -1;
@@ -41,7 +44,60 @@
                 EventCode::RoleChanged,
                 format_args!("duty={duty:?} before={before:?}"),
             );
+            self.log_duty_reason(duty);
         }
+        self.note_busy();
+    }
+
+    /// Why the node took or left a duty.
+    fn log_duty_reason(&self, duty: StoreDuty) {
+        let event = if duty == StoreDuty::Listener {
+            EventCode::DutyLeft
+        } else {
+            EventCode::DutyTaken
+        };
+        let exchange = self.coordinator.exchange();
+        let (place, rank) = (exchange.place(), exchange.claim_rank());
+        let rank = rank.map_or_else(|| "none".to_owned(), |rank| rank.to_string());
+        let (class, zone) = (place.class.number(), place.zone.0);
+        log_event(event, format_args!("class={class} zone={zone} rank={rank}"));
+    }
+
+    /// The node has become too busy for duties that others can take, or is no more.
+    fn note_busy(&mut self) {
+        let exchange = self.coordinator.exchange();
+        let (busy, class) = (exchange.is_busy(), exchange.place().class.number());
+        if busy == std::mem::replace(&mut self.was_busy, busy) {
+            return;
+        }
+        let event = if busy {
+            EventCode::ClaimLowered
+        } else {
+            EventCode::ClaimRestored
+        };
+        let paced = self.shared.link_paced.load(Ordering::Relaxed);
+        log_event(event, format_args!("class={class} link_paced={paced}"));
+    }
+
+    /// Counts bytes that go to a peer.
+    pub fn count_sent(&self, kind: &'static str, to: SocketAddrV4, length: usize) {
+        let zone = self.coordinator.exchange().zone_of(to);
+        self.count_sent_to(kind, zone, length);
+    }
+
+    /// Counts bytes that go to a zone, if that is known.
+    pub fn count_sent_to(&self, kind: &'static str, zone: Option<ZoneNumber>, length: usize) {
+        let own = self.coordinator.exchange().place().zone;
+        let to = match zone {
+            None => "unknown",
+            Some(zone) if zone == own => "own_zone",
+            Some(_) => "other_zone",
+        };
+        let labels = PeerBytesLabels { kind, to };
+        self.metrics
+            .peer_bytes_sent
+            .get_or_create(&labels)
+            .inc_by(length as u64);
     }
 
     pub(super) fn log_configuration(&self, source: Source) {
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -28,6 +28,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of bytes that go to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PeerBytesLabels {
+    /// `heartbeat`, `delta`, `question` or `snapshot`.
+    pub kind: &'static str,
+    /// `own_zone`, `other_zone`, or `unknown` where the receiver's is not known.
+    pub to: &'static str,
+}
+
 /// What the control thread counts.
 #[derive(Debug)]
 pub struct ControlMetrics {
@@ -35,6 +44,8 @@
     pub list_seconds: Histogram,
     /// Calls to the store by what came of them.
     pub store_calls: Family<StoreCallLabels, Counter>,
+    /// Bytes sent to peers, by kind of message and whether they leave the zone.
+    pub peer_bytes_sent: Family<PeerBytesLabels, Counter>,
     /// Heartbeats sent to peers.
     pub heartbeats_sent: Counter,
     /// Heartbeats received.
@@ -76,6 +87,7 @@
         let metrics = Self {
             list_seconds: Histogram::new(LIST_BUCKETS),
             store_calls: Family::default(),
+            peer_bytes_sent: Family::default(),
             heartbeats_sent: Counter::default(),
             heartbeats_received: Counter::default(),
             questions_sent: Counter::default(),
@@ -103,6 +115,11 @@
             "Calls to the store by kind of object, call and outcome",
             metrics.store_calls.clone(),
         );
+        registry.register(
+            "peer_bytes_sent",
+            "Bytes sent to peers, by kind of message and whether they leave the zone",
+            metrics.peer_bytes_sent.clone(),
+        );
         let counters = [
             (
                 "heartbeats_sent",
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of the daemon.
 
+use bellyoke_core::cookie::capacity::{MachineCapacity, NodePlace, ZoneNumber};
 use bellyoke_core::cookie::cold::ColdAllowance;
 use bellyoke_process::log::LogSettings;
 use bellyoke_process::settings::descriptor::DefaultValue::{Absent, Literal, Required};
@@ -35,6 +36,8 @@
         "What the machine's link carries."),
     key("machine", "descriptors", "", integer(1, 16_777_216), Absent,
         "File descriptors that the process may hold."),
+    key("exchange", "own_zone_first", "", ValueKind::Switch, Literal("true"),
+        "Whether nodes tell and ask peers of their own zone first, so that bytes between zones don't grow with the nodes of a zone."),
     key("cluster", "seeds", "", ValueKind::AddressList { most: 64 }, Literal("[]"),
         "Some nodes to start from. Only the hosts count: the port is that of `node.peer_address`."),
     key("store", "address", "", ValueKind::Address, Required,
@@ -75,6 +78,8 @@
     pub node: NodeSettings,
     /// What its machine has.
     pub machine: MachineSettings,
+    /// How it speaks to its peers.
+    pub exchange: PeerExchangeSettings,
     /// Its peers.
     pub cluster: ClusterSettings,
     /// The store.
@@ -119,6 +124,26 @@
     pub descriptors: Option<u64>,
 }
 
+impl MachineSettings {
+    /// What counts for duties.
+    #[must_use]
+    pub fn capacity(&self) -> MachineCapacity {
+        MachineCapacity {
+            cores: self.cpu_share,
+            memory_mb: self.memory_mb.map(|megabytes| megabytes as f64),
+            link_mbps: self.link_mbps,
+        }
+    }
+}
+
+/// How the node speaks to its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerExchangeSettings {
+    /// Whether it tells and asks peers of its own zone first.
+    pub own_zone_first: bool,
+}
+
 /// The node's peers.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -211,6 +236,15 @@
 }
 
 impl Settings {
+    /// Where the node stands, and what its machine can bear.
+    #[must_use]
+    pub fn place(&self) -> NodePlace {
+        NodePlace {
+            zone: ZoneNumber::of(&self.node.zone),
+            class: self.machine.capacity().class(),
+        }
+    }
+
     /// Where peers are looked for: the hosts of the seeds, at this node's peer port.
     #[must_use]
     pub fn peer_seeds(&self) -> Vec<SocketAddrV4> {
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -8,7 +8,7 @@
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::sync::mpsc::Sender;
 
 /// Written by the control thread, read by all.
@@ -30,6 +30,8 @@
     pub avoided: ArcSwap<BTreeSet<Cookie>>,
     /// How many nodes there are at most, for the traffic thread.
     pub nodes: AtomicU64,
+    /// Whether what the traffic thread sends is paced, since the link carries no more.
+    pub link_paced: AtomicBool,
     /// Instances at which the traffic thread's openings completed a moment ago.
     pub sound: ArcSwap<Vec<Cookie>>,
     /// Where the traffic thread says which instances it doubts.
@@ -54,6 +56,7 @@
             unreachable: ArcSwap::default(),
             nodes: AtomicU64::new(u64::MAX),
             avoided: ArcSwap::default(),
+            link_paced: AtomicBool::new(false),
             sound: ArcSwap::default(),
             doubts,
             last_tick: AtomicU64::new(clock.now().as_micros()),
