--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -130,6 +130,8 @@
     SettingsReloaded = 831, Info, "The settings were read again.";
     SettingsRejected = 832, Warn, "The settings have changed but cannot be used; the old ones stay in force.";
     MetricsUnavailable = 833, Warn, "The address of the metrics cannot be bound; the node runs without it.";
+    RestingFlowEnded = 841, Info, "A flow that rested was ended with a reset, since its instance has ended.";
+    InstanceLives = 842, Info, "Flows of an instance in question go on here; the question is dropped, and peers are told.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -208,6 +208,7 @@
             PeerDatagram::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat),
             PeerDatagram::Delta(message) => self.delta(now, from, message),
             PeerDatagram::Question(question) => self.question(now, &question),
+            PeerDatagram::Objection(objection) => self.objection(now, &objection),
         }
     }
 
--- a/crates/bellyoke-core/src/cookie/coordinator/probing.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator/probing.rs
@@ -2,7 +2,7 @@
 
 use super::{Coordinator, Outcome};
 use crate::cookie::directory::KnownInstance;
-use crate::cookie::exchange::{ExchangeEffect, Question};
+use crate::cookie::exchange::{ExchangeEffect, Objection, Question};
 use crate::cookie::instance::{Cookie, InstanceState};
 use crate::cookie::placement::mix;
 use crate::cookie::reachability::{
@@ -86,6 +86,44 @@
         self.reachability.unreachable(now)
     }
 
+    /// Instances whose flows may be ended, resting ones too.
+    #[must_use]
+    pub fn ended(&self, now: Timestamp) -> BTreeSet<Cookie> {
+        self.reachability.ended(now)
+    }
+
+    /// Instances of which a sign of life would change something.
+    #[must_use]
+    pub fn in_question(&self, now: Timestamp) -> BTreeSet<Cookie> {
+        self.reachability.in_question(now)
+    }
+
+    /// Flows of some instances have gone on a moment ago. Returns those that were in question, and what to
+    /// tell peers.
+    pub fn object(
+        &mut self,
+        now: Timestamp,
+        living: &[Cookie],
+    ) -> (Vec<Cookie>, Vec<ExchangeEffect>) {
+        let living = living.iter().copied();
+        let dropped: Vec<Cookie> = living
+            .filter(|cookie| self.reachability.lives(now, *cookie))
+            .collect();
+        let effects = self.exchange.tell_living(&dropped);
+        (dropped, effects)
+    }
+
+    /// A peer objects: some instances live. What is news goes on to others.
+    pub(super) fn objection(&mut self, now: Timestamp, objection: &Objection) -> Outcome {
+        let living = objection.cookies.iter();
+        let living: Vec<Cookie> = living.filter_map(|bits| Cookie::from_bits(*bits)).collect();
+        let (_, effects) = self.object(now, &living);
+        Outcome {
+            change: StateChange::default(),
+            effects,
+        }
+    }
+
     /// Tells the reachability monitor whose records have gone, or whose addresses passed on. It holds few instances mostly.
     pub(super) fn note_records(&mut self, now: Timestamp) {
         let held = &self.reachability;
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/ends.rs
@@ -0,0 +1,122 @@
+//! Which resting flows are ended, and when.
+//!
+//! Once an instance is known to have ended, the flows that a node has seen there are reset, resting ones
+//! too: a client that sends next what may not be sent twice would lose it. All flows of an instance end at
+//! once, so their resets are paced.
+
+use crate::cookie::flows::FlowTable;
+use crate::cookie::forwarder::ResetReason;
+use crate::cookie::instance::Cookie;
+use crate::cookie::packet::FlowTuple;
+use crate::time::Timestamp;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Resets of resting flows in one interval, each of some 60 bytes: 1 Mbit/s, a tenth of the thinnest link.
+pub const RESETS_AT_ONCE: usize = 32;
+
+/// Time between two groups of resets.
+pub const RESET_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A resting flow that is to be reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowEnd {
+    /// The flow.
+    pub flow: FlowTuple,
+    /// The instance that it was open at.
+    pub cookie: Cookie,
+    /// What its client acknowledged last.
+    pub acknowledged: u32,
+    /// Why it is ended.
+    pub reason: ResetReason,
+}
+
+/// The flows that wait for their resets.
+///
+/// ```
+/// use bellyoke_core::cookie::ends::FlowEnds;
+/// use bellyoke_core::cookie::flows::FlowTable;
+/// use bellyoke_core::cookie::instance::{Cookie, InstanceId};
+/// use bellyoke_core::time::Timestamp;
+/// use std::time::Duration;
+///
+/// let flows = FlowTable::new(1_000, Duration::from_secs(15));
+/// let mut ends = FlowEnds::default();
+/// let ended = std::iter::empty();
+/// ends.review(Timestamp::ZERO, ended, &flows);
+/// assert_eq!(ends.next(Timestamp::ZERO, &flows, |_| None), None);
+/// assert_eq!(ends.next_at(), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct FlowEnds {
+    /// Instances whose flows were queued already.
+    begun: BTreeSet<Cookie>,
+    /// Hashes of flows, and what their clients had acknowledged when they were queued.
+    due: VecDeque<(u64, u32)>,
+    interval_began: Timestamp,
+    sent: usize,
+}
+
+impl FlowEnds {
+    /// Queues the flows of instances that have ended since the last call.
+    pub fn review(
+        &mut self,
+        now: Timestamp,
+        ended: impl Iterator<Item = Cookie>,
+        flows: &FlowTable,
+    ) {
+        let ended: BTreeSet<Cookie> = ended.collect();
+        let is_news = |cookie: &Cookie| ended.contains(cookie) && !self.begun.contains(cookie);
+        if ended.iter().any(is_news) {
+            let news = flows.iter().filter(|(_, record)| is_news(&record.cookie));
+            let due = news.map(|(hash, record)| (hash, record.acknowledged));
+            self.due.extend(due);
+            self.interval_began = self.interval_began.max(now);
+        }
+        self.begun = ended;
+    }
+
+    /// The next flow to reset now. It is left alone, and kept, if its client has acknowledged something
+    /// since it was queued or `reason` tells no reason any more.
+    pub fn next(
+        &mut self,
+        now: Timestamp,
+        flows: &FlowTable,
+        reason: impl Fn(Cookie) -> Option<ResetReason>,
+    ) -> Option<FlowEnd> {
+        if now.since(self.interval_began) >= RESET_INTERVAL {
+            self.interval_began = now;
+            self.sent = 0;
+        }
+        while self.sent < RESETS_AT_ONCE {
+            let (hash, acknowledged) = self.due.pop_front()?;
+            let Some(record) = flows.get(hash).copied() else {
+                continue;
+            };
+            let reason = reason(record.cookie).filter(|_| record.acknowledged == acknowledged);
+            let Some(reason) = reason else {
+                continue;
+            };
+            self.sent += 1;
+            return Some(FlowEnd {
+                flow: record.flow,
+                cookie: record.cookie,
+                acknowledged,
+                reason,
+            });
+        }
+        None
+    }
+
+    /// When [`Self::next`] has something to do; none if nothing waits.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Timestamp> {
+        let is_paced = self.sent >= RESETS_AT_ONCE;
+        let pause = if is_paced {
+            RESET_INTERVAL
+        } else {
+            Duration::ZERO
+        };
+        (!self.due.is_empty()).then(|| self.interval_began.after(pause))
+    }
+}
--- a/crates/bellyoke-core/src/cookie/exchange/effect.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/effect.rs
@@ -1,6 +1,6 @@
 //! What the exchange wants its host to do.
 
-use super::message::{Heartbeat, Question};
+use super::message::{Heartbeat, Objection, Question};
 use crate::cookie::replica::Versions;
 use std::net::SocketAddrV4;
 
@@ -30,6 +30,13 @@
         /// Which instances.
         question: Question,
     },
+    /// Tell a peer that some instances in question live.
+    SendObjection {
+        /// To whom.
+        to: SocketAddrV4,
+        /// Which instances.
+        objection: Objection,
+    },
     /// Fetch a snapshot.
     Fetch {
         /// From whom.
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -31,6 +31,9 @@
 /// Kind byte of a question about instances.
 const QUESTION_KIND: u8 = 5;
 
+/// Kind byte of an objection to a question.
+const OBJECTION_KIND: u8 = 6;
+
 const TAG_LENGTH: usize = blake3::OUT_LEN;
 const HEADER_LENGTH: usize = 2 + TAG_LENGTH;
 
@@ -79,6 +82,13 @@
     pub cookies: Vec<u32>,
 }
 
+/// Instances in question whose flows go on, as the sender, or one that it heard, has seen.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct Objection {
+    /// Their cookies.
+    pub cookies: Vec<u32>,
+}
+
 /// A request for what the sender lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct FetchRequest {
@@ -95,6 +105,8 @@
     Delta(DeltaMessage),
     /// Instances in question.
     Question(Question),
+    /// Instances in question that live.
+    Objection(Objection),
 }
 
 impl PeerDatagram {
@@ -107,6 +119,7 @@
         match bytes.get(1) {
             Some(&DELTA_KIND) => DeltaMessage::decode(bytes, key).map(Self::Delta),
             Some(&QUESTION_KIND) => Question::decode(bytes, key).map(Self::Question),
+            Some(&OBJECTION_KIND) => Objection::decode(bytes, key).map(Self::Objection),
             _ => Heartbeat::decode(bytes, key).map(Self::Heartbeat),
         }
     }
@@ -305,6 +318,29 @@
     }
 }
 
+impl Objection {
+    /// Most instances that an objection names.
+    pub const MAXIMUM_COOKIES: usize = 256;
+
+    /// The bytes of this objection.
+    ///
+    /// # Errors
+    ///
+    /// [`EncodeError`] if it is too long for a datagram.
+    pub fn encode(&self, key: &PeerKey) -> Result<Vec<u8>, EncodeError> {
+        encode(self, key, OBJECTION_KIND, MAXIMUM_DATAGRAM_LENGTH)
+    }
+
+    /// The objection that `bytes` encode.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if they encode none.
+    pub fn decode(bytes: &[u8], key: &PeerKey) -> Result<Self, DecodeError> {
+        decode(bytes, key, OBJECTION_KIND, MAXIMUM_DATAGRAM_LENGTH)
+    }
+}
+
 impl FetchRequest {
     /// The bytes of this request.
     ///
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -29,8 +29,8 @@
 pub use fetches::FETCH_PATIENCE;
 pub use message::{
     DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
-    MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey,
-    Question, decode_snapshot, encode_snapshot,
+    MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, Objection,
+    PeerDatagram, PeerKey, Question, decode_snapshot, encode_snapshot,
 };
 pub use peers::PeerRecord;
 pub use settings::ExchangeSettings;
@@ -283,6 +283,25 @@
         effects
     }
 
+    /// Objects to a question: some instances live.
+    pub fn tell_living(&mut self, cookies: &[Cookie]) -> Vec<ExchangeEffect> {
+        let mut effects = Vec::new();
+        for cookies in cookies.chunks(Objection::MAXIMUM_COOKIES) {
+            let objection = Objection {
+                cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
+            };
+            let receivers = self
+                .peers
+                .sample(self.settings.push_fanout, &mut self.random);
+            let sent = receivers.into_iter().map(|to| {
+                let objection = objection.clone();
+                ExchangeEffect::SendObjection { to, objection }
+            });
+            effects.extend(sent);
+        }
+        effects
+    }
+
     /// Instances that peers suspect. Several must agree before one counts: one alone may be
     /// cut off from it itself.
     #[must_use]
--- a/crates/bellyoke-core/src/cookie/flows.rs
+++ b/crates/bellyoke-core/src/cookie/flows.rs
@@ -130,6 +130,12 @@
         all.filter(move |record| record.cookie == cookie)
     }
 
+    /// All flows remembered, with their hashes.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &FlowRecord)> {
+        let all = self.young.iter().chain(self.old.iter());
+        all.map(|(hash, record)| (*hash, record))
+    }
+
     /// Flows remembered.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -151,7 +157,8 @@
     fn turn(&mut self, now: Timestamp) {
         let is_over = now.since(self.began) >= self.lifetime;
         if is_over || self.young.len() >= self.capacity {
-            self.old = std::mem::take(&mut self.young);
+            std::mem::swap(&mut self.old, &mut self.young);
+            self.young.clear();
             self.began = now;
         }
     }
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,15 +1,17 @@
 //! The decision for each packet.
 
 use crate::cookie::cold::{ColdLimiter, ColdShare};
+use crate::cookie::ends::{FlowEnd, FlowEnds};
+use crate::cookie::flows::FlowTable;
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
 use crate::cookie::packet::{Destination, FlowPacket, PacketRole};
 use crate::cookie::placement::{Suitability, choose_instance, choose_part, mix};
-use crate::cookie::seen::{AcknowledgementTable, SeenTable, data_key};
+use crate::cookie::seen::{SeenTable, data_key};
 use crate::cookie::table::{Candidate, ForwardingTable};
 use crate::time::Timestamp;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How long after its record went an instance is still better than no instance. Shorter than
@@ -24,8 +26,15 @@
 /// that forwards a few hundred a second. What is forgotten sooner leaves its flow to the client.
 const FIRST_SENT_PLACES: usize = 1_024;
 
-/// Flows whose last acknowledgement is remembered, 16 bytes each.
-const FLOW_PLACES: usize = 1_024;
+/// Flows that are remembered where the settings don't tell.
+const FLOW_CAPACITY: usize = 8_192;
+
+/// How long a resting flow is remembered: users count no flow that has rested for longer.
+const FLOW_REST: Duration = Duration::from_secs(15);
+
+/// An instance in question that showed life so lately lives: a question is raised 150 ms after a death at
+/// the soonest, and takes 200 ms more to become one of peers.
+const OBJECTION_WINDOW: Duration = Duration::from_millis(300);
 
 /// Instances whose last sign of life is remembered, 16 bytes each.
 const INSTANCE_PLACES: usize = 1_024;
@@ -103,11 +112,17 @@
     monitor: OpeningMonitor,
     loads: LoadMeter,
     unreachable: BTreeSet<Cookie>,
-    /// The same and those that were unreachable a while ago.
-    avoided: BTreeSet<Cookie>,
+    /// Those whose flows may be ended, resting ones too.
+    ended: BTreeSet<Cookie>,
+    /// The same and those that were unreachable a while ago, and since when.
+    avoided: BTreeMap<Cookie, Timestamp>,
+    /// When the last packet was decided on.
+    decided_at: Timestamp,
     /// When data of flows was first sent.
     first_sent: SeenTable,
-    acknowledged: AcknowledgementTable,
+    flows: FlowTable,
+    ends: FlowEnds,
+    ends_resting: bool,
     cold: ColdLimiter,
     /// When an instance last showed that it lives.
     alive_at: SeenTable,
@@ -124,9 +139,13 @@
             monitor: OpeningMonitor::new(settings),
             loads: LoadMeter::default(),
             unreachable: BTreeSet::new(),
-            avoided: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            avoided: BTreeMap::new(),
+            decided_at: Timestamp::ZERO,
             first_sent: SeenTable::new(FIRST_SENT_PLACES),
-            acknowledged: AcknowledgementTable::new(FLOW_PLACES),
+            flows: FlowTable::new(FLOW_CAPACITY, FLOW_REST),
+            ends: FlowEnds::default(),
+            ends_resting: true,
             cold: ColdLimiter::new(None, 0),
             alive_at: SeenTable::new(INSTANCE_PLACES),
             proven: BTreeSet::new(),
@@ -139,6 +158,17 @@
         Self { cold, ..self }
     }
 
+    /// The same, remembering at most `capacity` flows. `ends_resting` tells whether resting flows of
+    /// instances that have ended are reset.
+    #[must_use]
+    pub fn with_flows(self, capacity: usize, ends_resting: bool) -> Self {
+        Self {
+            flows: FlowTable::new(capacity, FLOW_REST),
+            ends_resting,
+            ..self
+        }
+    }
+
     /// How many nodes there are, at least.
     pub fn set_nodes(&mut self, nodes: f64) {
         self.cold.set_nodes(nodes);
@@ -153,6 +183,7 @@
         packet: &FlowPacket,
         backlog: bool,
     ) -> Decision {
+        self.decided_at = now;
         match packet.role {
             PacketRole::Opening { .. } if backlog => Decision::Drop(DropReason::Backlog),
             PacketRole::Opening { attempt } => self.open(now, table, packet, attempt),
@@ -168,6 +199,7 @@
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
         self.proven.retain(|cookie| is_known(*cookie));
+        self.review_ends(now, table);
         self.monitor.take_changes()
     }
 
@@ -199,9 +231,78 @@
         if self.unreachable != *unreachable {
             self.unreachable.clone_from(unreachable);
         }
-        if self.avoided != *avoided {
-            self.avoided.clone_from(avoided);
+        if !self.avoided.keys().eq(avoided) {
+            let decided_at = self.decided_at;
+            self.avoided.retain(|cookie, _| avoided.contains(cookie));
+            for cookie in avoided {
+                self.avoided.entry(*cookie).or_insert(decided_at);
+            }
+        }
+    }
+
+    /// Instances whose death is established, and to which no peer has objected: their flows end.
+    pub fn set_ended(&mut self, ended: &BTreeSet<Cookie>) {
+        if self.ended != *ended {
+            self.ended.clone_from(ended);
+        }
+    }
+
+    /// The instances among those in question that showed life a moment ago.
+    #[must_use]
+    pub fn living(&self, now: Timestamp, questioned: &BTreeSet<Cookie>) -> Vec<Cookie> {
+        let living = questioned.iter().copied();
+        living
+            .filter(|cookie| self.alive_within(now, *cookie, OBJECTION_WINDOW))
+            .collect()
+    }
+
+    /// The next resting flow to reset now; none if none is due.
+    pub fn next_end(&mut self, now: Timestamp, table: &ForwardingTable) -> Option<FlowEnd> {
+        self.ends.next_at()?;
+        let mut ends = std::mem::take(&mut self.ends);
+        let end = ends.next(now, &self.flows, |cookie| self.end_of(now, table, cookie));
+        self.ends = ends;
+        if let Some(end) = &end {
+            self.flows.remove(end.flow.hash());
+        }
+        end
+    }
+
+    /// When [`Self::next_end`] has something to do; none if no flow waits to be reset.
+    #[must_use]
+    pub fn next_end_at(&self) -> Option<Timestamp> {
+        self.ends.next_at()
+    }
+
+    /// Flows remembered.
+    #[must_use]
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    fn review_ends(&mut self, now: Timestamp, table: &ForwardingTable) {
+        if self.ends_resting {
+            let ended = self.ended.iter().chain(table.superseded()).copied();
+            self.ends.review(now, ended, &self.flows);
+        }
+    }
+
+    /// Why the flows of an instance end; none if they don't.
+    fn end_of(
+        &self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        cookie: Cookie,
+    ) -> Option<ResetReason> {
+        if table.is_superseded(cookie) {
+            return Some(ResetReason::Superseded);
         }
+        self.has_ended(now, cookie)
+            .then_some(ResetReason::Unreachable)
+    }
+
+    fn has_ended(&self, now: Timestamp, cookie: Cookie) -> bool {
+        self.ended.contains(&cookie) && self.is_unreachable(cookie) && !self.is_alive(now, cookie)
     }
 
     /// The process stood still: openings under way prove nothing.
@@ -310,31 +411,56 @@
     }
 
     fn is_avoided(&self, cookie: Cookie) -> bool {
-        self.avoided.contains(&cookie) && !self.proven.contains(&cookie)
+        self.avoided.contains_key(&cookie) && !self.proven.contains(&cookie)
     }
 
     fn is_unreachable(&self, cookie: Cookie) -> bool {
         self.unreachable.contains(&cookie) && !self.proven.contains(&cookie)
     }
 
-    /// Notes that a flow goes on, if this packet shows it.
+    /// Notes that a flow goes on, if this packet shows it. The instance has sent something since the flow's
+    /// last packet; when, isn't known: a client that rests tells what it got last with its next request.
     fn note_life(&mut self, now: Timestamp, packet: &FlowPacket, cookie: Cookie) {
         let flow_hash = packet.flow.hash();
-        if self.acknowledged.advances(flow_hash, packet.acknowledged) {
-            self.lives(now, cookie);
+        let held = self.flows.get(flow_hash);
+        let held = held.filter(|held| held.flow == packet.flow && held.cookie == cookie);
+        let advanced = held.filter(|held| held.acknowledged != packet.acknowledged);
+        if let Some(seen_at) = advanced.map(|held| held.seen_at) {
+            self.lives(seen_at, cookie);
+        }
+        if packet.closes || packet.role == PacketRole::Abort {
+            self.flows.remove(flow_hash);
+        } else {
+            self.flows.note(now, flow_hash, packet, cookie);
         }
     }
 
-    fn lives(&mut self, now: Timestamp, cookie: Cookie) {
-        self.alive_at.note(now, life_key(cookie));
-        if self.avoided.contains(&cookie) {
+    /// Whether a packet asks something of an instance that has ended. Packets without data, and those
+    /// that close their flows, lose nothing.
+    fn asks_in_vain(&self, now: Timestamp, packet: &FlowPacket, cookie: Cookie) -> bool {
+        let asks = packet.data_sequence.is_some() && !packet.closes;
+        self.ends_resting && asks && self.has_ended(now, cookie)
+    }
+
+    /// An instance has lived at `since` or later.
+    fn lives(&mut self, since: Timestamp, cookie: Cookie) {
+        let key = life_key(cookie);
+        let known = self.alive_at.seen_at(key);
+        self.alive_at
+            .note(known.map_or(since, |known| known.max(since)), key);
+        let avoided = self.avoided.get(&cookie);
+        if avoided.is_some_and(|avoided_at| since > *avoided_at) {
             self.proven.insert(cookie);
         }
     }
 
     fn is_alive(&self, now: Timestamp, cookie: Cookie) -> bool {
+        self.alive_within(now, cookie, LIFE_LIFETIME)
+    }
+
+    fn alive_within(&self, now: Timestamp, cookie: Cookie, time: Duration) -> bool {
         let alive_at = self.alive_at.seen_at(life_key(cookie));
-        alive_at.is_some_and(|at| now.since(at) < LIFE_LIFETIME)
+        alive_at.is_some_and(|at| now.since(at) < time)
     }
 
     fn follow(&mut self, now: Timestamp, table: &ForwardingTable, packet: &FlowPacket) -> Decision {
@@ -346,17 +472,21 @@
         };
         let destination = *destination;
         if packet.role == PacketRole::Later && table.is_superseded(cookie) {
+            self.flows.remove(packet.flow.hash());
             return Decision::Reset(ResetReason::Superseded);
         }
         self.note_life(now, packet, cookie);
-        if packet.role == PacketRole::Later && self.is_unanswered(now, packet, cookie) {
+        let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
+        if let Some(after) = opened_after {
+            self.lives(now.before(after), cookie);
+        }
+        if packet.role == PacketRole::Later
+            && (self.is_unanswered(now, packet, cookie) || self.asks_in_vain(now, packet, cookie))
+        {
+            self.flows.remove(packet.flow.hash());
             return Decision::Reset(ResetReason::Unreachable);
         }
         self.loads.count(now, cookie, PACKET_WEIGHT);
-        let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
-        if opened_after.is_some() {
-            self.lives(now, cookie);
-        }
         Decision::Follow {
             destination,
             opened_after,
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -22,6 +22,7 @@
 pub mod coordinator;
 pub mod delta;
 pub mod directory;
+pub mod ends;
 pub mod exchange;
 pub mod flows;
 pub mod follower;
--- a/crates/bellyoke-core/src/cookie/reachability.rs
+++ b/crates/bellyoke-core/src/cookie/reachability.rs
@@ -55,6 +55,11 @@
 /// An instance that was probed so lately isn't questioned again.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// How long peers have, once they were asked about an instance, to say that it lives, before its resting
+/// flows are ended. A peer that sees a few requests a second there knows within 300 ms; the word takes
+/// some ms, and 100 ms wherever a control thread waits for its tick.
+pub const OBJECTION_TIME: Duration = Duration::from_millis(400);
+
 /// What the records tell of an instance in question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordState {
@@ -193,6 +198,8 @@
     under_way: bool,
     probed_at: Option<Timestamp>,
     unreachable_at: Option<Timestamp>,
+    /// When peers were asked about it, or asked.
+    asked_at: Option<Timestamp>,
     /// Its record went, or its address passed on, while it was unreachable: it has ended, unless the
     /// record comes back.
     settled: bool,
@@ -202,6 +209,8 @@
     avoided_until: Timestamp,
     rechecks: u32,
     inconclusive: u32,
+    /// When its flows last showed that it lives.
+    lived_at: Option<Timestamp>,
 }
 
 /// What a node has established of the instances that were in question.
@@ -221,6 +230,7 @@
         }
         state.questioned = true;
         state.by_peer = doubter == Doubter::Peer;
+        state.asked_at = state.by_peer.then_some(now);
         state.inconclusive = 0;
         true
     }
@@ -279,7 +289,9 @@
         let was_unreachable = state.is_unreachable(now);
         state.under_way = false;
         state.probed_at = Some(now);
-        if state.succeeded {
+        let lived = state.lived_at;
+        let lives = lived.is_some_and(|at| now.since(at) < QUESTION_INTERVAL);
+        if state.succeeded || (lives && outcome == ProbeOutcome::Unreachable) {
             return None;
         }
         if outcome == ProbeOutcome::Inconclusive {
@@ -299,6 +311,7 @@
             state.rechecks = 0;
         } else {
             state.unreachable_at = Some(now);
+            state.asked_at.get_or_insert(now);
             state.rechecks = match state.rechecks {
                 0 if !was_unreachable => RECHECKS,
                 left => left.saturating_sub(1),
@@ -311,6 +324,46 @@
         })
     }
 
+    /// Instances whose flows may be ended, resting ones too: they are held to be unreachable, and peers have
+    /// had time to object.
+    #[must_use]
+    pub fn ended(&self, now: Timestamp) -> BTreeSet<Cookie> {
+        let had_time = |state: &InstanceState| {
+            let asked_at = state.asked_at;
+            state.settled || asked_at.is_some_and(|at| now.since(at) >= OBJECTION_TIME)
+        };
+        let states = self.states.iter();
+        let ended = states.filter(|(_, state)| state.is_unreachable(now) && had_time(state));
+        ended.map(|(cookie, _)| *cookie).collect()
+    }
+
+    /// Instances of which a sign of life would change something: they are in question, or held to be
+    /// unreachable and not settled.
+    #[must_use]
+    pub fn in_question(&self, now: Timestamp) -> BTreeSet<Cookie> {
+        let states = self.states.iter();
+        let questioned = states.filter(|(_, state)| state.is_in_question(now));
+        questioned.map(|(cookie, _)| *cookie).collect()
+    }
+
+    /// An instance in question lives, as its flows show: drops question and verdict. Returns whether
+    /// there was any.
+    pub fn lives(&mut self, now: Timestamp, cookie: Cookie) -> bool {
+        let Some(state) = self.states.get_mut(&cookie) else {
+            return false;
+        };
+        if !state.is_in_question(now) {
+            return false;
+        }
+        *state = InstanceState {
+            under_way: state.under_way,
+            lived_at: Some(now),
+            probed_at: Some(now),
+            ..InstanceState::default()
+        };
+        true
+    }
+
     /// Whether an instance was ever in question.
     #[must_use]
     pub fn holds(&self, cookie: Cookie) -> bool {
@@ -358,6 +411,11 @@
 }
 
 impl InstanceState {
+    fn is_in_question(&self, now: Timestamp) -> bool {
+        let is_open = self.questioned || self.is_unreachable(now);
+        is_open && !self.settled && !self.succeeded
+    }
+
     fn is_unreachable(&self, now: Timestamp) -> bool {
         let verdict = self.unreachable_at;
         self.settled || verdict.is_some_and(|at| now.since(at) < VERDICT_LIFETIME)
--- a/crates/bellyoke-core/src/cookie/seen.rs
+++ b/crates/bellyoke-core/src/cookie/seen.rs
@@ -50,39 +50,3 @@
     const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
     (flow_hash ^ u64::from(sequence).wrapping_mul(SPREAD)) | 1
 }
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Acknowledged {
-    /// Zero for none.
-    flow: u64,
-    number: u32,
-}
-
-/// What the clients of flows acknowledged last, in a bounded table.
-#[derive(Debug)]
-pub(crate) struct AcknowledgementTable {
-    places: Vec<Acknowledged>,
-    /// A power of two.
-    length: usize,
-}
-
-impl AcknowledgementTable {
-    pub(crate) const fn new(length: usize) -> Self {
-        Self {
-            places: Vec::new(),
-            length,
-        }
-    }
-
-    /// Notes what a packet acknowledges. Returns whether its flow acknowledged something else before:
-    /// then the other end has sent something since.
-    pub(crate) fn advances(&mut self, flow_hash: u64, number: u32) -> bool {
-        if self.places.is_empty() {
-            self.places = vec![Acknowledged::default(); self.length];
-        }
-        let flow = flow_hash | 1;
-        let place = usize::try_from(flow >> 32).unwrap_or_default() & (self.length - 1);
-        let held = std::mem::replace(&mut self.places[place], Acknowledged { flow, number });
-        held.flow == flow && held.number != number
-    }
-}
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -191,6 +191,12 @@
         self.superseded.binary_search(&cookie).is_ok()
     }
 
+    /// Cookies of the instances whose addresses others have taken over, ascending.
+    #[must_use]
+    pub fn superseded(&self) -> &[Cookie] {
+        &self.superseded
+    }
+
     /// Cookies of all instances remembered, ascending.
     pub fn cookies(&self) -> impl Iterator<Item = Cookie> {
         self.destinations.iter().map(|(cookie, _)| *cookie)
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/ends.rs
@@ -0,0 +1,226 @@
+//! Which resting flows are ended once their instance is known to have ended.
+
+use crate::support::{at, flow, later, node, opening, record};
+use bellyoke_core::cookie::ends::{FlowEnd, RESET_INTERVAL, RESETS_AT_ONCE};
+use bellyoke_core::cookie::forwarder::{Decision, Forwarder, ResetReason};
+use bellyoke_core::cookie::health::HealthSettings;
+use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceId, InstanceRecord};
+use bellyoke_core::cookie::packet::FlowPacket;
+use bellyoke_core::cookie::reachability::{
+    Doubter, OBJECTION_TIME, ProbeOutcome, ReachabilityMonitor,
+};
+use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::table::ForwardingTable;
+use std::collections::BTreeSet;
+
+fn cookie(id: u64) -> Cookie {
+    Cookie::of(InstanceId(id))
+}
+
+fn table() -> ForwardingTable {
+    node(vec![record(1, 1), record(2, 2)]).table()
+}
+
+fn packet(number: u32, sequence: Option<u32>, acknowledged: u32) -> FlowPacket {
+    FlowPacket {
+        data_sequence: sequence,
+        data_length: 10,
+        acknowledged,
+        ..later(number, cookie(1))
+    }
+}
+
+/// A forwarder that has seen `flows` flows at instance 1, which rest since second 1.
+fn resting(table: &ForwardingTable, flows: u32, ends_resting: bool) -> Forwarder {
+    let forwarder = Forwarder::new(HealthSettings::default());
+    let mut forwarder = forwarder.with_flows(1_000, ends_resting);
+    for number in 0..flows {
+        forwarder.decide(at(1_000), table, &packet(number, None, 7), false);
+    }
+    forwarder
+}
+
+/// Instance 1 is held to have ended.
+fn end(forwarder: &mut Forwarder, table: &ForwardingTable, now: u64) {
+    let ended = BTreeSet::from([cookie(1)]);
+    forwarder.set_unreachable(&ended, &ended);
+    forwarder.set_ended(&ended);
+    forwarder.review(at(now), table);
+}
+
+fn ends(forwarder: &mut Forwarder, table: &ForwardingTable, now: u64) -> Vec<FlowEnd> {
+    std::iter::from_fn(|| forwarder.next_end(at(now), table)).collect()
+}
+
+#[test]
+fn resting_flows_of_an_ended_instance_are_reset_in_groups() {
+    let table = table();
+    let mut forwarder = resting(&table, 50, true);
+    assert_eq!(forwarder.next_end_at(), None);
+    end(&mut forwarder, &table, 5_000);
+    assert_eq!(forwarder.next_end_at(), Some(at(5_000)));
+    let first = ends(&mut forwarder, &table, 5_000);
+    assert_eq!(first.len(), RESETS_AT_ONCE);
+    let expected = (cookie(1), 7, ResetReason::Unreachable);
+    let told = first[0];
+    assert_eq!((told.cookie, told.acknowledged, told.reason), expected);
+    assert_eq!(ends(&mut forwarder, &table, 5_010), []);
+    let next = at(5_000).after(RESET_INTERVAL);
+    assert_eq!(forwarder.next_end_at(), Some(next));
+    assert_eq!(
+        ends(&mut forwarder, &table, 5_020).len(),
+        50 - RESETS_AT_ONCE
+    );
+    assert_eq!(forwarder.next_end_at(), None);
+    // Once for each flow.
+    forwarder.review(at(6_000), &table);
+    assert_eq!(ends(&mut forwarder, &table, 6_000), []);
+}
+
+#[test]
+fn resting_flows_are_left_where_that_is_set() {
+    let table = table();
+    let mut forwarder = resting(&table, 5, false);
+    end(&mut forwarder, &table, 5_000);
+    assert_eq!(ends(&mut forwarder, &table, 5_000), []);
+    let decision = forwarder.decide(at(5_010), &table, &packet(1, Some(100), 7), false);
+    assert!(matches!(decision, Decision::Follow { .. }), "{decision:?}");
+}
+
+#[test]
+fn flows_of_a_superseded_instance_are_reset_while_they_rest() {
+    let mut replica = node(vec![record(1, 1), record(2, 2)]);
+    let mut forwarder = resting(&replica.table(), 5, true);
+    let successor = InstanceRecord {
+        address: record(1, 1).address,
+        ..record(9, 20)
+    };
+    let events = vec![
+        InstanceEvent::Put(successor),
+        InstanceEvent::Gone(InstanceId(1)),
+    ];
+    replica.apply_instances(at(4_000), Revision(21), events);
+    let table = replica.table();
+    forwarder.review(at(4_100), &table);
+    let ends = ends(&mut forwarder, &table, 4_100);
+    assert_eq!(ends.len(), 5);
+    assert_eq!(ends[0].reason, ResetReason::Superseded);
+}
+
+/// Only what an instance did after the verdict counts: a client that rests tells what it got before with its
+/// next request.
+#[test]
+fn what_a_rested_client_acknowledges_is_no_sign_of_life() {
+    let table = table();
+    let mut forwarder = resting(&table, 2, true);
+    end(&mut forwarder, &table, 5_000);
+    let decision = forwarder.decide(at(5_010), &table, &packet(0, Some(100), 90), false);
+    assert_eq!(decision, Decision::Reset(ResetReason::Unreachable));
+    assert_eq!(ends(&mut forwarder, &table, 5_020).len(), 1);
+}
+
+#[test]
+fn flows_that_go_on_after_the_verdict_are_left_alone() {
+    let table = table();
+    let mut forwarder = resting(&table, 5, true);
+    let unreachable = BTreeSet::from([cookie(1)]);
+    forwarder.set_unreachable(&unreachable, &unreachable);
+    forwarder.decide(at(5_000), &table, &packet(0, Some(100), 7), false);
+    forwarder.decide(at(5_040), &table, &packet(0, None, 60), false);
+    end(&mut forwarder, &table, 5_100);
+    assert_eq!(ends(&mut forwarder, &table, 5_100), []);
+    let decision = forwarder.decide(at(9_000), &table, &packet(1, Some(100), 7), false);
+    assert!(matches!(decision, Decision::Follow { .. }), "{decision:?}");
+}
+
+/// As at a node that has restarted.
+#[test]
+fn an_unknown_flow_of_an_ended_instance_is_ended_by_its_first_request() {
+    let table = table();
+    let mut forwarder = Forwarder::new(HealthSettings::default());
+    let unreachable = BTreeSet::from([cookie(1)]);
+    forwarder.set_unreachable(&unreachable, &unreachable);
+    let decide = |forwarder: &mut Forwarder, now, packet: FlowPacket| {
+        let decision = forwarder.decide(at(now), &table, &packet, false);
+        decision == Decision::Reset(ResetReason::Unreachable)
+    };
+    let asks = packet(3, Some(100), 7);
+    assert!(!decide(&mut forwarder, 5_000, asks), "peers may object");
+    forwarder.set_ended(&unreachable);
+    assert!(decide(&mut forwarder, 5_100, packet(4, Some(100), 7)));
+    assert!(
+        !decide(&mut forwarder, 5_100, packet(5, None, 7)),
+        "it asks nothing"
+    );
+    let closes = FlowPacket {
+        closes: true,
+        ..packet(6, Some(100), 7)
+    };
+    assert!(!decide(&mut forwarder, 5_100, closes));
+}
+
+/// The cookie in its first packet has come from the instance just now.
+#[test]
+fn a_flow_that_has_just_opened_is_no_flow_of_an_ended_instance() {
+    let table = node(vec![record(1, 1)]).table();
+    let mut forwarder = Forwarder::new(HealthSettings::default());
+    end(&mut forwarder, &table, 5_000);
+    forwarder.decide(at(5_000), &table, &opening(3, 0), false);
+    let decision = forwarder.decide(at(5_030), &table, &packet(3, Some(100), 7), false);
+    assert!(matches!(decision, Decision::Follow { .. }), "{decision:?}");
+}
+
+#[test]
+fn a_closed_flow_is_forgotten() {
+    let table = table();
+    let mut forwarder = resting(&table, 3, true);
+    let closes = FlowPacket {
+        closes: true,
+        ..packet(1, None, 7)
+    };
+    forwarder.decide(at(2_000), &table, &closes, false);
+    assert_eq!(forwarder.flows(), 2);
+    end(&mut forwarder, &table, 5_000);
+    let ended = ends(&mut forwarder, &table, 5_000);
+    assert!(ended.iter().all(|end| end.flow != flow(1)));
+}
+
+fn objection_milliseconds() -> u64 {
+    u64::try_from(OBJECTION_TIME.as_millis()).unwrap()
+}
+
+fn unreachable(doubter: Doubter) -> ReachabilityMonitor {
+    let mut monitor = ReachabilityMonitor::default();
+    monitor.question(at(1_000), cookie(1), doubter);
+    monitor.questioned(doubter);
+    monitor.probed(at(1_300), cookie(1), ProbeOutcome::Unreachable);
+    monitor
+}
+
+#[test]
+fn peers_have_time_to_object_before_resting_flows_end() {
+    // They are asked with the verdict, unless one of them has asked.
+    for (doubter, asked_at) in [(Doubter::Node, 1_300), (Doubter::Peer, 1_000)] {
+        let monitor = unreachable(doubter);
+        let over = asked_at + objection_milliseconds();
+        assert!(monitor.ended(at(over - 1)).is_empty());
+        assert_eq!(monitor.ended(at(over)), BTreeSet::from([cookie(1)]));
+    }
+}
+
+#[test]
+fn an_objection_drops_question_and_verdict() {
+    let mut monitor = unreachable(Doubter::Node);
+    assert!(monitor.lives(at(1_400), cookie(1)));
+    assert!(!monitor.lives(at(1_410), cookie(1)), "it is passed on once");
+    assert!(monitor.unreachable(at(1_400)).is_empty());
+    assert!(monitor.ended(at(9_000)).is_empty());
+    assert!(!monitor.question(at(1_500), cookie(1), Doubter::Peer));
+    assert!(monitor.question(at(3_000), cookie(1), Doubter::Node));
+    // A probe that was under way then establishes nothing.
+    monitor.questioned(Doubter::Node);
+    assert!(monitor.lives(at(3_100), cookie(1)));
+    let change = monitor.probed(at(3_200), cookie(1), ProbeOutcome::Unreachable);
+    assert_eq!(change, None);
+    assert!(monitor.unreachable(at(3_200)).is_empty());
+}
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -162,6 +162,9 @@
                 ExchangeEffect::SendQuestion { to, question } => {
                     self.deliver(from, to, PeerDatagram::Question(question));
                 }
+                ExchangeEffect::SendObjection { to, objection } => {
+                    self.deliver(from, to, PeerDatagram::Objection(objection));
+                }
                 ExchangeEffect::Fetch { from: source } => self.fetch(from, source),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -3,6 +3,7 @@
 mod cold;
 mod directory;
 mod ended_instances;
+mod ends;
 mod exchange;
 mod flows;
 mod follower;
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -3,8 +3,8 @@
 use crate::support::{at, configuration, node, of_service, record};
 use bellyoke_core::cookie::exchange::{
     DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
-    MAXIMUM_HEARTBEAT_LENGTH, PeerDatagram, PeerKey, Question, WatcherClaim, decode_snapshot,
-    encode_snapshot,
+    MAXIMUM_HEARTBEAT_LENGTH, Objection, PeerDatagram, PeerKey, Question, WatcherClaim,
+    decode_snapshot, encode_snapshot,
 };
 use bellyoke_core::cookie::instance::InstanceEvent;
 use bellyoke_core::cookie::replica::{Snapshot, Versions};
@@ -60,6 +60,19 @@
     assert_eq!(forged, Err(DecodeError::Tag));
 }
 
+#[test]
+fn an_objection_comes_back_as_it_was() {
+    let objection = Objection {
+        cookies: (0..Objection::MAXIMUM_COOKIES as u32).collect(),
+    };
+    let key = PeerKey::new([7; 32]);
+    let bytes = objection.encode(&key).unwrap();
+    let decoded = PeerDatagram::decode(&bytes, &key);
+    assert_eq!(decoded, Ok(PeerDatagram::Objection(objection)));
+    let forged = PeerDatagram::decode(&bytes, &PeerKey::default());
+    assert_eq!(forged, Err(DecodeError::Tag));
+}
+
 #[test]
 fn a_snapshot_comes_back_as_it_was() {
     let mut replica = node(vec![record(1, 1), record(2, 2)]);
--- a/crates/bellyoke-lab/src/cookie/client.rs
+++ b/crates/bellyoke-lab/src/cookie/client.rs
@@ -48,7 +48,7 @@
         flow: FlowTuple,
         /// Whether it was open.
         open: bool,
-        /// Whether the request is tried again.
+        /// Whether no request was lost by it: it is tried again, or the flow rested.
         retried: bool,
     },
     /// An answer has come.
@@ -354,6 +354,7 @@
         if matches!(self.state, State::Resting { .. }) && !open {
             return;
         }
+        let rested = matches!(self.state, State::Resting { .. });
         let first_tried = match &self.state {
             State::Waiting { since, .. } if self.retried < self.settings.retries => Some(*since),
             _ => None,
@@ -361,9 +362,12 @@
         output.events.push(ClientEvent::Reset {
             flow,
             open,
-            retried: first_tried.is_some(),
+            retried: first_tried.is_some() || rested,
         });
         self.open = None;
+        if rested {
+            return;
+        }
         if let Some(first_tried) = first_tried {
             self.retried += 1;
             self.begin(now, first_tried, output);
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -32,6 +32,9 @@
 /// How long gone instances are remembered.
 const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(70);
 
+/// Flows that a node remembers.
+const FLOW_CAPACITY: usize = 8_192;
+
 /// How long a leaving node goes on.
 const LEAVE_GRACE: Duration = Duration::from_millis(1_100);
 
@@ -134,13 +137,13 @@
         };
         let follower = FollowerSettings::default();
         Self {
-            ablations,
             coordinator: Coordinator::new(
                 replica(&exchange, tombstone_lifetime),
                 Exchange::new(exchange, address, seeds, seed),
             ),
             table: ForwardingTable::default(),
-            forwarder: Forwarder::new(health),
+            forwarder: Forwarder::new(health)
+                .with_flows(FLOW_CAPACITY, !ablations.contains(&Ablation::NoRestingEnds)),
             lifecycle: Lifecycle::new(LEAVE_GRACE),
             ticks: TickReport {
                 last: now,
@@ -155,6 +158,7 @@
             next_call: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             told_failing: Vec::new(),
+            ablations,
         }
     }
 
@@ -274,6 +278,12 @@
         let unreachable = self.coordinator.unreachable(now);
         let avoided = self.coordinator.avoided(now);
         self.forwarder.set_unreachable(&unreachable, &avoided);
+        self.forwarder.set_ended(&self.coordinator.ended(now));
+        let questioned = self.coordinator.in_question(now);
+        let living = self.forwarder.living(now, &questioned);
+        if !self.lacks(Ablation::NoPeers) && !self.lacks(Ablation::NoObjections) {
+            effects.extend(self.coordinator.object(now, &living).1);
+        }
         let failing: Vec<_> = self.forwarder.failing_instances().collect();
         if failing != self.told_failing && !self.lacks(Ablation::NoPeers) {
             self.told_failing.clone_from(&failing);
@@ -286,6 +296,18 @@
         effects
     }
 
+    /// Resets of resting flows whose instances have ended.
+    pub fn end_resting(&mut self, now: Timestamp) -> Vec<Packet> {
+        let ends = std::iter::from_fn(|| self.forwarder.next_end(now, &self.table));
+        let resets: Vec<Packet> = ends
+            .map(|end| Packet::reset_of(&end.flow, end.acknowledged))
+            .collect();
+        if self.lacks(Ablation::NoResets) {
+            return Vec::new();
+        }
+        resets
+    }
+
     /// The probe that it wants to begin.
     pub fn next_probe(&mut self, now: Timestamp) -> Option<ProbeBatch> {
         if self.lacks(Ablation::NoProbes) {
--- a/crates/bellyoke-lab/src/cookie/packet.rs
+++ b/crates/bellyoke-lab/src/cookie/packet.rs
@@ -78,6 +78,21 @@
         })
     }
 
+    /// The reset that ends a client's flow, of which it acknowledged so much last.
+    #[must_use]
+    pub fn reset_of(flow: &FlowTuple, acknowledged: u32) -> Self {
+        Self {
+            source: Some(flow.service),
+            destination: Some(flow.client),
+            flags: Flags {
+                rst: true,
+                ..Flags::default()
+            },
+            sequence: acknowledged,
+            ..Self::default()
+        }
+    }
+
     /// The reset with which a node answers this packet of a client.
     #[must_use]
     pub fn reset(&self) -> Self {
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -43,6 +43,10 @@
     RestForever,
     /// Open flows of dead targets are left to their clients.
     NoResets,
+    /// Only flows whose clients send something are reset.
+    NoRestingEnds,
+    /// Nobody objects to a question about an instance that lives.
+    NoObjections,
     /// No instance is ever probed.
     NoProbes,
     /// The instances of drained zones take new flows.
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -380,6 +380,9 @@
                 ExchangeEffect::SendQuestion { to, question } => {
                     self.send_datagram(node, to, PeerDatagram::Question(question));
                 }
+                ExchangeEffect::SendObjection { to, objection } => {
+                    self.send_datagram(node, to, PeerDatagram::Objection(objection));
+                }
                 ExchangeEffect::Fetch { from } => self.fetch(node, from),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -2,7 +2,7 @@
 
 use super::{CONNECTION_PACKET, Event, NODE_TICK, World, peer_address};
 use crate::cookie::link::{Link, LinkSettings};
-use crate::cookie::node::{Node, StoreCall};
+use crate::cookie::node::{Forwarded, Node, StoreCall};
 use crate::cookie::packet::Packet;
 use crate::cookie::rules::{Arrival, CONTACT, Origin};
 use crate::cookie::scenario::{ZONES, service_name, zone_name};
@@ -131,7 +131,11 @@
                 continue;
             }
             let effects = process.tick(self.now);
+            let resets = process.end_resting(self.now);
             self.effects(node, effects);
+            for reset in resets {
+                self.forwarded(node, Forwarded::Reset(reset));
+            }
         }
         self.after(NODE_TICK, Event::NodeTicks);
     }
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -453,6 +453,47 @@
     }
 }
 
+/// Resets of flows that rest let their clients open others before they send anything: fewer requests wait.
+#[test]
+fn resting_flows_of_crashed_targets_are_ended() {
+    let mut scenario = Scenario {
+        short_clients: 90,
+        long_clients: 60,
+        ..calm()
+    };
+    for (at, target) in [(6_000, 0), (10_000, 1), (14_000, 2)] {
+        scenario = scenario.at(at, Action::Crash { target });
+    }
+    let resets = |scenario: &Scenario| -> u64 {
+        let reports = SEEDS.map(|seed| play(scenario.clone(), seed));
+        reports.map(|report| report.resets_by_nodes).sum()
+    };
+    let by_repeats = scenario.clone().without(Ablation::NoRestingEnds);
+    holds(&scenario, 0.9);
+    assert!(resets(&scenario) > 0);
+    assert!(failed(&scenario) <= failed(&by_repeats));
+}
+
+/// Targets that take no connections look dead to probes, and a client that rests may ask nothing of the node
+/// that believes it: peers that see their flows go on object.
+#[test]
+fn no_resting_flow_of_a_target_that_only_refuses_probes_is_ended() {
+    let scenario = Scenario {
+        short_clients: 90,
+        long_clients: 60,
+        loss: 0.08,
+        nodes: 12,
+        ..calm()
+    };
+    let deaf = (0..8).fold(scenario, |scenario, target| {
+        scenario.at(5_000, Action::Deafen { target })
+    });
+    for seed in SEEDS {
+        assert_eq!(play(deaf.clone(), seed).violations, [], "seed {seed}");
+    }
+    needs(&deaf, Ablation::NoObjections, Rule::Flow);
+}
+
 /// Flows at a target that died are ended once another one is seen at its address: clients turn
 /// elsewhere instead of waiting for an answer that can't come.
 #[test]
--- a/crates/bellyoke-node/src/connection/peers.rs
+++ b/crates/bellyoke-node/src/connection/peers.rs
@@ -5,8 +5,8 @@
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::exchange::{
     DecodeError, EncodeError, ExchangeEffect, FETCH_PATIENCE, FetchRequest, Heartbeat,
-    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerKey, Question,
-    decode_snapshot, encode_snapshot,
+    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, Objection, PeerKey,
+    Question, decode_snapshot, encode_snapshot,
 };
 use bellyoke_core::cookie::replica::{Snapshot, Versions};
 use bellyoke_process::log::log_event;
@@ -76,6 +76,9 @@
                     }
                 }
                 ExchangeEffect::SendQuestion { to, question } => self.send_question(to, &question),
+                ExchangeEffect::SendObjection { to, objection } => {
+                    self.send_objection(to, &objection);
+                }
                 ExchangeEffect::Fetch { from } => {
                     tokio::task::spawn_local(fetch(self.clone(), from));
                 }
@@ -108,6 +111,15 @@
         }
     }
 
+    fn send_objection(&self, to: SocketAddrV4, objection: &Objection) {
+        let control = self.control.borrow();
+        if let Ok(bytes) = objection.encode(control.peer_key())
+            && self.socket.try_send_to(&bytes, to.into()).is_ok()
+        {
+            control.metrics().objections_sent.inc();
+        }
+    }
+
     /// Sends what a peer lacks. Returns false if a delta can't tell it.
     fn send_delta(&self, to: SocketAddrV4, known: Versions) -> bool {
         let control = self.control.borrow();
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -27,6 +27,8 @@
     ResetSuperseded,
     /// The open flow was ended with a reset: its instance can't be reached.
     ResetUnreachable,
+    /// A flow that rested was ended with a reset: its instance has ended.
+    ResetResting,
     /// Dropped: it waited while the process stood still.
     DroppedBacklog,
     /// Dropped: its cookie is not known.
@@ -46,7 +48,7 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::Placed,
         Self::Followed,
         Self::Held,
@@ -54,6 +56,7 @@
         Self::RefusedNoInstance,
         Self::ResetSuperseded,
         Self::ResetUnreachable,
+        Self::ResetResting,
         Self::DroppedBacklog,
         Self::DroppedUnknownCookie,
         Self::DroppedDuplicate,
@@ -75,6 +78,7 @@
             Self::RefusedNoInstance => "refused_no_instance",
             Self::ResetSuperseded => "reset_superseded",
             Self::ResetUnreachable => "reset_unreachable",
+            Self::ResetResting => "reset_resting",
             Self::DroppedBacklog => "dropped_backlog",
             Self::DroppedUnknownCookie => "dropped_unknown_cookie",
             Self::DroppedDuplicate => "dropped_duplicate",
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -2,9 +2,11 @@
 
 use super::counters::PacketOutcome;
 use super::sender::{LinkSender, SendOutcome};
+use crate::process::settings::{FlowSettings, FlowSwitch};
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::cold::ColdLimiter;
+use bellyoke_core::cookie::ends::FlowEnd;
 use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
 use bellyoke_core::cookie::health::{HealthChange, HealthSettings};
 use bellyoke_core::cookie::instance::Cookie;
@@ -36,6 +38,10 @@
 /// Time between two reviews of the openings under way.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest wait for a packet: resting flows are to be ended soon after their instance, and a node that gets
+/// no packets wakes up ten times a second.
+const LONGEST_WAIT: Duration = REVIEW_INTERVAL;
+
 /// Lines of one event in one second.
 const LOG_ALLOWANCE: u32 = 200;
 
@@ -50,10 +56,12 @@
     codec: Codec,
     shared: Arc<Shared>,
     cold: ColdLimiter,
+    flows: FlowSettings,
 ) -> io::Result<JoinHandle<()>> {
+    socket.set_read_timeout(Some(LONGEST_WAIT))?;
     let builder = std::thread::Builder::new();
     let builder = builder.name(name).stack_size(STACK_LENGTH);
-    builder.spawn(move || TrafficThread::new(socket, codec, shared, cold).run())
+    builder.spawn(move || TrafficThread::new(socket, codec, shared, cold, flows).run())
 }
 
 struct TrafficThread<Codec> {
@@ -70,13 +78,21 @@
 }
 
 impl<Codec: PacketCodec> TrafficThread<Codec> {
-    fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>, cold: ColdLimiter) -> Self {
+    fn new(
+        socket: UdpSocket,
+        codec: Codec,
+        shared: Arc<Shared>,
+        cold: ColdLimiter,
+        flows: FlowSettings,
+    ) -> Self {
         let client_port = socket.local_addr().map_or(0, |address| address.port());
         Self {
             sender: LinkSender::new(socket),
             codec,
             shared,
-            forwarder: Forwarder::new(HealthSettings::default()).with_cold_limiter(cold),
+            forwarder: Forwarder::new(HealthSettings::default())
+                .with_cold_limiter(cold)
+                .with_flows(flows.capacity, flows.end_resting == FlowSwitch::On),
             guard: BacklogGuard::default(),
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             next_review: Timestamp::ZERO,
@@ -90,9 +106,10 @@
         let mut drain = false;
         loop {
             self.send_due();
+            self.end_resting();
             // While packets may be old, or others wait to be sent, the socket is read without
             // waiting until it is empty.
-            let flags = if drain || self.sender.next_at().is_some() {
+            let flags = if drain || self.next_at().is_some() {
                 MsgFlags::MSG_DONTWAIT
             } else {
                 MsgFlags::empty()
@@ -107,6 +124,7 @@
                     self.guard.emptied();
                     drain = false;
                     self.wait_for_room();
+                    self.review_idle();
                 }
                 Err(Errno::EINTR | Errno::ECONNREFUSED) => {}
                 Err(error) => {
@@ -128,9 +146,41 @@
         }
     }
 
+    /// When something is due that no packet brings about; none if nothing is.
+    fn next_at(&self) -> Option<Timestamp> {
+        let ends_at = self.forwarder.next_end_at();
+        let sends_at = self.sender.next_at();
+        sends_at.into_iter().chain(ends_at).min()
+    }
+
+    /// Looks at what has changed, though no packet has come.
+    fn review_idle(&mut self) {
+        let now = self.shared.clock.now();
+        let table = self.shared.table.load_full();
+        self.review(now, &table);
+    }
+
+    /// Resets the resting flows that are due.
+    fn end_resting(&mut self) {
+        if self.forwarder.next_end_at().is_none() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let table = self.shared.table.load_full();
+        while let Some(end) = self.forwarder.next_end(now, &table) {
+            let reset = self.codec.reset_flow(&end.flow, end.acknowledged);
+            let client = SocketAddrV4::new(*end.flow.client.ip(), self.client_port);
+            self.shared.packets.count(PacketOutcome::ResetResting);
+            self.log_end(now, &end);
+            if let Err(error) = self.sender.send(&reset, client) {
+                self.send_failed(now, &error);
+            }
+        }
+    }
+
     /// Waits until a packet comes or the next one that was held back may go.
     fn wait_for_room(&self) {
-        let Some(next_at) = self.sender.next_at() else {
+        let Some(next_at) = self.next_at() else {
             return;
         };
         let wait = TimeSpec::from_duration(next_at.since(self.shared.clock.now()));
@@ -252,14 +302,21 @@
         if **self.shared.sound.load() != sound {
             self.shared.sound.store(Arc::new(sound));
         }
+        let questioned = self.shared.in_question.load();
+        let living = self.forwarder.living(now, &questioned);
+        if **self.shared.living.load() != living {
+            self.shared.living.store(Arc::new(living));
+        }
         if self.sender.bytes_per_second().is_some() {
             let none = BTreeSet::new();
             self.forwarder.set_unreachable(&none, &none);
+            self.forwarder.set_ended(&none);
             return;
         }
         let unreachable = self.shared.unreachable.load();
         let avoided = self.shared.avoided.load();
         self.forwarder.set_unreachable(&unreachable, &avoided);
+        self.forwarder.set_ended(&self.shared.ended.load());
         // If the control thread is behind, the next failure asks again.
         if !failed.is_empty() {
             let _ = self.shared.doubts.try_send(failed);
@@ -324,6 +381,20 @@
         );
     }
 
+    fn log_end(&mut self, now: Timestamp, end: &FlowEnd) {
+        self.limiter.log(
+            EventCode::RestingFlowEnded,
+            now,
+            format_args!(
+                "client={} service={} cookie={:08x} because={:?}",
+                end.flow.client,
+                end.flow.service,
+                end.cookie.bits(),
+                end.reason,
+            ),
+        );
+    }
+
     fn log_flow(
         &mut self,
         event: EventCode,
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -273,8 +273,17 @@
                 self.asked.notify_one();
                 self.metrics.questions_received.inc()
             }
+            PeerDatagram::Objection(_) => self.metrics.objections_received.inc(),
         };
-        let outcome = self.coordinator.datagram(self.clock.now(), from, datagram);
+        let now = self.clock.now();
+        let is_verdict = matches!(
+            datagram,
+            PeerDatagram::Question(_) | PeerDatagram::Objection(_)
+        );
+        let outcome = self.coordinator.datagram(now, from, datagram);
+        if is_verdict {
+            self.show_unreachable(now);
+        }
         self.take(outcome, Source::Peer)
     }
 
@@ -324,6 +333,7 @@
         }
         let mut effects = outcome.effects;
         effects.extend(self.exchange_suspicions(now));
+        effects.extend(self.object(now));
         self.show_unreachable(now);
         self.note_duty(now);
         let nodes = self.coordinator.nodes_at_most(now).ceil();
@@ -380,12 +390,33 @@
         if **self.shared.unreachable.load() != unreachable {
             self.shared.unreachable.store(Arc::new(unreachable));
         }
+        let ended = self.coordinator.ended(now);
+        if **self.shared.ended.load() != ended {
+            self.shared.ended.store(Arc::new(ended));
+        }
+        let in_question = self.coordinator.in_question(now);
+        if **self.shared.in_question.load() != in_question {
+            self.shared.in_question.store(Arc::new(in_question));
+        }
         let avoided = self.coordinator.avoided(now);
         if **self.shared.avoided.load() != avoided {
             self.shared.avoided.store(Arc::new(avoided));
         }
     }
 
+    /// Tells peers which of the instances in question the traffic thread has seen alive.
+    fn object(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
+        let living = self.shared.living.load_full();
+        if living.is_empty() {
+            return Vec::new();
+        }
+        let (dropped, effects) = self.coordinator.object(now, &living);
+        for cookie in dropped {
+            self.log_objection(now, cookie);
+        }
+        effects
+    }
+
     /// Tells peers at once of a new suspicion, and the traffic thread of theirs.
     fn exchange_suspicions(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -105,6 +105,14 @@
             .log(event, now, format_args!("cookie={cookie:08x}"));
     }
 
+    pub(super) fn log_objection(&mut self, now: Timestamp, cookie: Cookie) {
+        self.limiter.log(
+            EventCode::InstanceLives,
+            now,
+            format_args!("cookie={:08x} because=flows_go_on", cookie.bits()),
+        );
+    }
+
     pub(super) fn log_zones(&mut self, source: Source) {
         let now = self.clock.now();
         let zones = self.coordinator.replica().zones();
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -43,6 +43,10 @@
     pub questions_sent: Counter,
     /// Questions about instances received.
     pub questions_received: Counter,
+    /// Objections to questions sent to peers.
+    pub objections_sent: Counter,
+    /// Objections to questions received.
+    pub objections_received: Counter,
     /// Probes of instances, by what they found.
     pub probes: Family<ProbeLabels, Counter>,
     /// Instances that this node can't reach.
@@ -80,6 +84,8 @@
             heartbeats_received: Counter::default(),
             questions_sent: Counter::default(),
             questions_received: Counter::default(),
+            objections_sent: Counter::default(),
+            objections_received: Counter::default(),
             probes: Family::default(),
             unreachable: Gauge::default(),
             deltas_sent: Counter::default(),
@@ -124,6 +130,16 @@
                 "Questions about instances sent to peers",
                 &metrics.questions_sent,
             ),
+            (
+                "objections_received",
+                "Objections to questions about instances received",
+                &metrics.objections_received,
+            ),
+            (
+                "objections_sent",
+                "Objections to questions about instances sent to peers",
+                &metrics.objections_sent,
+            ),
             ("deltas_sent", "Deltas sent to peers", &metrics.deltas_sent),
             (
                 "deltas_received",
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -158,8 +158,15 @@
     let data_socket = UdpSocket::bind(data_address)
         .with_context(|| format!("bind node.data_address {data_address}"))?;
     let cold = ColdLimiter::new(settings.cold.allowance(), rand::random());
-    start_traffic_thread("traffic-0".to_owned(), data_socket, codec, shared, cold)
-        .context("start a traffic thread")?;
+    start_traffic_thread(
+        "traffic-0".to_owned(),
+        data_socket,
+        codec,
+        shared,
+        cold,
+        settings.flows,
+    )
+    .context("start a traffic thread")?;
     follow_store(&link, &settings, &store);
     spawn_local(probe_instances(link.clone(), doubted));
     log_event(
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -55,6 +55,10 @@
         "Factor to the flows that cold instances are said to bear, up to which all nodes together may open flows there. Without it they have no limit, whatever `slack` says."),
     key("cold", "slack", "flows/s", integer(0, 1_000_000), Literal("0"),
         "Flows a second that cold instances may get beyond that."),
+    key("flows", "capacity", "", integer(2, 1_048_576), Literal("8192"),
+        "Open flows that a node remembers, about 100 bytes each. Beyond them those are forgotten first that sent nothing for longest; they end by their first packet, not while they rest."),
+    key("flows", "end_resting", "", ValueKind::Choice(&["on", "off"]), Literal("\"on\""),
+        "Whether resting flows of an instance that has ended are reset, before their clients send anything."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -83,6 +87,8 @@
     pub timing: TimingSettings,
     /// What cold instances may get.
     pub cold: ColdSettings,
+    /// Flows that the node remembers.
+    pub flows: FlowSettings,
     /// The log.
     pub log: LogSettings,
 }
@@ -164,6 +170,26 @@
     pub slack: u32,
 }
 
+/// Flows that the node remembers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FlowSettings {
+    /// Most of them.
+    pub capacity: usize,
+    /// Whether resting flows of instances that have ended are reset.
+    pub end_resting: FlowSwitch,
+}
+
+/// Whether a mechanism is on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum FlowSwitch {
+    /// It is.
+    On,
+    /// It isn't.
+    Off,
+}
+
 impl ColdSettings {
     /// The limit, if there is one.
     #[must_use]
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -28,6 +28,12 @@
     pub unreachable: ArcSwap<BTreeSet<Cookie>>,
     /// Those, and the ones that were unreachable a while ago: openings avoid them.
     pub avoided: ArcSwap<BTreeSet<Cookie>>,
+    /// Instances whose resting flows end, for the traffic thread.
+    pub ended: ArcSwap<BTreeSet<Cookie>>,
+    /// Instances in question, for the traffic thread.
+    pub in_question: ArcSwap<BTreeSet<Cookie>>,
+    /// Those of them that showed life at the traffic thread a moment ago.
+    pub living: ArcSwap<Vec<Cookie>>,
     /// How many nodes there are at most, for the traffic thread.
     pub nodes: AtomicU64,
     /// Instances at which the traffic thread's openings completed a moment ago.
@@ -54,6 +60,9 @@
             unreachable: ArcSwap::default(),
             nodes: AtomicU64::new(u64::MAX),
             avoided: ArcSwap::default(),
+            ended: ArcSwap::default(),
+            in_question: ArcSwap::default(),
+            living: ArcSwap::default(),
             sound: ArcSwap::default(),
             doubts,
             last_tick: AtomicU64::new(clock.now().as_micros()),
