--- a/crates/bellyoke-core/tests/cookie/cluster.rs
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -80,6 +80,7 @@
         PeerDatagram::Heartbeat(heartbeat) => ("heartbeat", heartbeat.encode(&key)),
         PeerDatagram::Delta(message) => ("delta", message.encode(&key)),
         PeerDatagram::Question(question) => ("question", question.encode(&key)),
+        PeerDatagram::Objection(objection) => ("objection", objection.encode(&key)),
     };
     (kind, bytes.unwrap().len())
 }
@@ -215,6 +216,9 @@
                 ExchangeEffect::SendQuestion { to, question } => {
                     self.deliver(from, to, PeerDatagram::Question(question));
                 }
+                ExchangeEffect::SendObjection { to, objection } => {
+                    self.deliver(from, to, PeerDatagram::Objection(objection));
+                }
                 ExchangeEffect::Fetch { from: source } => self.fetch(from, source),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod directory;
 mod ended_instances;
+mod ends;
 mod exchange;
 mod exchange_zones;
 mod flows;
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -28,6 +28,12 @@
     pub unreachable: ArcSwap<BTreeSet<Cookie>>,
     /// Those, and the ones that were unreachable a while ago: openings avoid them.
     pub avoided: ArcSwap<BTreeSet<Cookie>>,
+    /// Instances whose resting flows end, for the traffic thread.
+    pub ended: ArcSwap<BTreeSet<Cookie>>,
+    /// Instances in question, for the traffic thread.
+    pub in_question: ArcSwap<BTreeSet<Cookie>>,
+    /// Those of them that showed life at the traffic thread a moment ago.
+    pub living: ArcSwap<Vec<Cookie>>,
     /// How many nodes there are at most, for the traffic thread.
     pub nodes: AtomicU64,
     /// Whether what the traffic thread sends is paced, since the link carries no more.
@@ -57,6 +63,9 @@
             nodes: AtomicU64::new(u64::MAX),
             avoided: ArcSwap::default(),
             link_paced: AtomicBool::new(false),
+            ended: ArcSwap::default(),
+            in_question: ArcSwap::default(),
+            living: ArcSwap::default(),
             sound: ArcSwap::default(),
             doubts,
             last_tick: AtomicU64::new(clock.now().as_micros()),
