Prefer instances whose answers come, by what clients acknowledge

Cause: a node looked at no request inside a flow, so an instance that fails, hangs or works slowly while it takes connections got as many flows as others; one that fails at once looked idle, and got more.

RequestProgress follows a flow's request from its data to what the client acknowledges next, AnswerMonitor judges it by what the route's answers are usually like, nodes report what speaks against an instance to the holders of watcher claims, and these tell verdicts, which all pass on once.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -130,6 +130,8 @@
     SettingsReloaded = 831, Info, "The settings were read again.";
     SettingsRejected = 832, Warn, "The settings have changed but cannot be used; the old ones stay in force.";
     MetricsUnavailable = 833, Warn, "The address of the metrics cannot be bound; the node runs without it.";
+    OutlierSetAside = 845, Warn, "Requests to an instance fail or are answered late, unlike those to the service's other instances; others are preferred.";
+    OutlierLetBack = 846, Info, "An instance that was set aside for its answers gets new flows like others again.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/src/cookie/answers.rs
+++ b/crates/bellyoke-core/src/cookie/answers.rs
@@ -3,10 +3,22 @@
 //! Backends answer their clients directly, so a node sees no answer. It sees when a client sends a
 //! request, and when and how far the client acknowledges what has come back. Whoever watches that
 //! hands on a sample a request; placement, admission and the choice of zones use them.
+//!
+//! [`RequestProgress`] follows the requests of one flow, [`AnswerBaseline`] knows what a route's answers
+//! are usually like, and [`AnswerMonitor`] makes samples of both. Feedback of this kind, taken in band from
+//! traffic that passes anyhow, is what Lim et al. argue for ("Load Balancers Need In-Band Feedback
+//! Control", `HotNets` 2022).
+
+mod baseline;
+mod monitor;
+mod progress;
+
+pub use baseline::AnswerBaseline;
+pub use monitor::{AnswerMonitor, AnswerQuality, JudgedSample};
+pub use progress::{RequestOutcome, RequestProgress};
 
 use crate::cookie::instance::Cookie;
 use crate::cookie::table::ServiceNumber;
-use crate::time::Timestamp;
 use std::time::Duration;
 
 /// What became of one request.
@@ -44,12 +56,3 @@
         waited: Duration,
     },
 }
-
-/// The request under way on one flow, as far as its client's packets tell.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RequestProgress {
-    /// When the request was sent, its last byte if it has several packets; none while the flow rests.
-    pub asked_at: Option<Timestamp>,
-    /// What the client had acknowledged then.
-    pub acknowledged_before: u32,
-}
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/answers/monitor.rs
@@ -0,0 +1,171 @@
+//! Samples of what became of requests, from the packets of all flows of one traffic thread.
+
+use super::baseline::AnswerBaseline;
+use super::progress::RequestOutcome;
+use super::{AnswerFate, AnswerSample};
+use crate::cookie::flows::{FlowRecord, FlowTable};
+use crate::cookie::packet::{FlowPacket, FlowTuple};
+use crate::cookie::table::{ForwardingTable, ServiceNumber};
+use crate::time::Timestamp;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// Routes whose usual answers are remembered, about 700 bytes each; requests on others aren't judged.
+const MAXIMUM_ROUTES: usize = 256;
+
+/// Requests watched at once; of further ones only the end on their flow is seen.
+const MAXIMUM_WATCHED: usize = 1_024;
+
+/// An answer of which nothing more came for so long is whole. Packets of one answer follow each other
+/// within milliseconds; those lost come 200 ms later, so that a rare answer passes as short.
+const REST: Duration = Duration::from_millis(100);
+
+/// How an answer compares with the usual ones of its route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerQuality {
+    /// About as usual.
+    Usual,
+    /// Much later than usual.
+    Slow,
+    /// An error, or none at all.
+    Failed,
+}
+
+/// A sample, and how it compares with others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JudgedSample {
+    /// What became of the request.
+    pub sample: AnswerSample,
+    /// How that compares.
+    pub quality: AnswerQuality,
+}
+
+/// Watches the requests on the flows of one traffic thread.
+#[derive(Debug, Default)]
+pub struct AnswerMonitor {
+    /// By the address of the route and the instance's service: work and sizes differ by both.
+    baselines: BTreeMap<(SocketAddrV4, ServiceNumber), AnswerBaseline>,
+    /// Flow hashes of requests under way.
+    watched: Vec<u64>,
+}
+
+impl AnswerMonitor {
+    /// Takes a packet into account, after its flow's record was noted. Returns a sample if the packet shows
+    /// that a request is over.
+    pub fn observe(
+        &mut self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        flow_hash: u64,
+        packet: &FlowPacket,
+        record: &mut FlowRecord,
+    ) -> Option<JudgedSample> {
+        let was_asked = record.request.asked_at.is_some();
+        let outcome = record.request.observe(now, packet);
+        let is_asked = record.request.asked_at.is_some();
+        let begins = is_asked && (!was_asked || outcome.is_some());
+        if begins && self.watched.len() < MAXIMUM_WATCHED && !self.watched.contains(&flow_hash) {
+            self.watched.push(flow_hash);
+        }
+        self.judge(table, record, &outcome?)
+    }
+
+    /// Looks at the requests under way. Returns samples of those that are overdue, and of answers that
+    /// have come to rest.
+    pub fn review(
+        &mut self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        flows: &mut FlowTable,
+    ) -> Vec<JudgedSample> {
+        let mut judged = Vec::new();
+        let watched = std::mem::take(&mut self.watched);
+        for flow_hash in watched {
+            let Some(record) = flows.get_mut(flow_hash) else {
+                continue;
+            };
+            let Some(outcome) = record.request.outcome(now) else {
+                continue;
+            };
+            if self.is_over(now, table, record, &outcome) {
+                record.request.finish(now);
+                judged.extend(self.judge(table, record, &outcome));
+            } else {
+                self.watched.push(flow_hash);
+            }
+        }
+        judged
+    }
+
+    /// The process stood still: what it missed would count as not answered.
+    pub fn forget_requests(&mut self, flows: &mut FlowTable) {
+        for flow_hash in std::mem::take(&mut self.watched) {
+            if let Some(record) = flows.get_mut(flow_hash) {
+                record.request.asked_at = None;
+            }
+        }
+    }
+
+    fn is_over(
+        &self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        record: &FlowRecord,
+        outcome: &RequestOutcome,
+    ) -> bool {
+        if outcome.after.is_some() {
+            return now.since(record.seen_at) >= REST;
+        }
+        let baseline = key(table, record).and_then(|key| self.baselines.get(&key));
+        baseline.is_some_and(|baseline| outcome.waited >= baseline.overdue())
+    }
+
+    fn judge(
+        &mut self,
+        table: &ForwardingTable,
+        record: &FlowRecord,
+        outcome: &RequestOutcome,
+    ) -> Option<JudgedSample> {
+        let (address, service) = key(table, record)?;
+        let priority = table.route(address)?.terms.priority;
+        let is_known = self.baselines.contains_key(&(address, service));
+        if !is_known && self.baselines.len() >= MAXIMUM_ROUTES {
+            return None;
+        }
+        let baseline = self.baselines.entry((address, service)).or_default();
+        let (fate, quality) = compare(baseline, outcome);
+        if let Some(after) = outcome.after {
+            baseline.learn(after, outcome.bytes);
+        }
+        let sample = AnswerSample {
+            cookie: record.cookie,
+            service,
+            priority,
+            fate,
+        };
+        Some(JudgedSample { sample, quality })
+    }
+}
+
+fn compare(baseline: &AnswerBaseline, outcome: &RequestOutcome) -> (AnswerFate, AnswerQuality) {
+    let bytes = outcome.bytes;
+    let Some(after) = outcome.after else {
+        let waited = outcome.waited;
+        return (AnswerFate::Unanswered { waited }, AnswerQuality::Failed);
+    };
+    if baseline.is_short(bytes) {
+        return (AnswerFate::Short { after }, AnswerQuality::Failed);
+    }
+    let quality = if baseline.is_slow(after) {
+        AnswerQuality::Slow
+    } else {
+        AnswerQuality::Usual
+    };
+    (AnswerFate::Answered { after, bytes }, quality)
+}
+
+fn key(table: &ForwardingTable, record: &FlowRecord) -> Option<(SocketAddrV4, ServiceNumber)> {
+    let FlowTuple { service, .. } = record.flow;
+    Some((service, table.service_of(record.cookie)?))
+}
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/answers/progress.rs
@@ -0,0 +1,146 @@
+//! The request under way on one flow.
+
+use crate::cookie::packet::{FlowPacket, PacketRole};
+use crate::time::Timestamp;
+use std::time::Duration;
+
+/// Half of the sequence space: what is further ahead than that is behind.
+const HALF: u32 = 1 << 31;
+
+/// The request under way on one flow, as far as its client's packets tell.
+///
+/// ```
+/// use bellyoke_core::cookie::answers::RequestProgress;
+/// use bellyoke_core::cookie::packet::{FlowPacket, FlowTuple, PacketRole};
+/// use bellyoke_core::time::Timestamp;
+/// use std::time::Duration;
+///
+/// let flow = FlowTuple {
+///     client: "203.0.113.9:40001".parse().unwrap(),
+///     service: "192.0.2.1:443".parse().unwrap(),
+/// };
+/// let packet = |data_sequence, data_length, closes, acknowledged| FlowPacket {
+///     flow, role: PacketRole::Later, cookie: None, data_sequence, data_length, closes, acknowledged,
+/// };
+/// let at = Timestamp::from_micros;
+/// let mut request = RequestProgress::default();
+/// assert_eq!(request.observe(at(0), &packet(Some(1), 200, false, 900)), None, "it is asked");
+/// assert_eq!(request.observe(at(40_000), &packet(None, 0, false, 1_700)), None, "an answer begins");
+/// let outcome = request.observe(at(41_000), &packet(None, 0, true, 1_900)).unwrap();
+/// assert_eq!(outcome.after, Some(Duration::from_millis(40)));
+/// assert_eq!(outcome.bytes, 1_000);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestProgress {
+    /// When the request was sent, its last byte if it has several packets; none while the flow rests, or once
+    /// it was told what became of the request.
+    pub asked_at: Option<Timestamp>,
+    /// What the client had acknowledged then.
+    pub acknowledged_before: u32,
+    /// Sequence number after the last byte of data seen.
+    asked_end: u32,
+    /// Bytes of the answer acknowledged.
+    answered: u32,
+    /// From the request to the first acknowledgement of the answer, microseconds; zero before it.
+    first_after: u32,
+}
+
+/// How far a request had come when it was over, or was looked at last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestOutcome {
+    /// From the request to the first acknowledgement of the answer; none if nothing came.
+    pub after: Option<Duration>,
+    /// Bytes of the answer.
+    pub bytes: u32,
+    /// From the request until now.
+    pub waited: Duration,
+}
+
+impl RequestProgress {
+    /// Takes a packet of the flow into account. Returns what became of a request if the packet shows that it
+    /// is over: the next one begins, or the flow ends.
+    pub fn observe(&mut self, now: Timestamp, packet: &FlowPacket) -> Option<RequestOutcome> {
+        let begins = self.begins_request(packet);
+        // What a later request acknowledges belongs to the answer before it.
+        if self.asked_at.is_some() {
+            self.acknowledge(now, packet.acknowledged);
+        }
+        let mut over = None;
+        if begins && self.answered > 0 {
+            over = self.finish(now);
+        }
+        if begins {
+            self.begin(now, packet);
+        }
+        if packet.role == PacketRole::Abort && self.answered == 0 {
+            // Its client may have lost interest. Whoever waited too long for it was noticed before.
+            self.asked_at = None;
+        }
+        let ends = packet.closes || packet.role == PacketRole::Abort;
+        if ends && self.answered > 0 {
+            over = over.or(self.finish(now));
+        }
+        over
+    }
+
+    /// How far the request under way has come; none while there is none.
+    #[must_use]
+    pub fn outcome(&self, now: Timestamp) -> Option<RequestOutcome> {
+        let asked_at = self.asked_at?;
+        let first_after = Duration::from_micros(u64::from(self.first_after));
+        Some(RequestOutcome {
+            after: (self.answered > 0).then_some(first_after),
+            bytes: self.answered,
+            waited: now.since(asked_at),
+        })
+    }
+
+    /// The same, and there is none under way after it.
+    pub fn finish(&mut self, now: Timestamp) -> Option<RequestOutcome> {
+        let outcome = self.outcome(now);
+        self.asked_at = None;
+        outcome
+    }
+
+    /// Whether a packet brings data that was not seen before. Copies and what was overtaken don't.
+    fn begins_request(&self, packet: &FlowPacket) -> bool {
+        let Some(sequence) = packet.data_sequence else {
+            return false;
+        };
+        let end = sequence.wrapping_add(u32::from(packet.data_length));
+        let knows_end = self.asked_end != 0;
+        let ahead = end.wrapping_sub(self.asked_end);
+        !knows_end || (ahead != 0 && ahead < HALF)
+    }
+
+    /// A request begins, or goes on if nothing of an answer has come.
+    fn begin(&mut self, now: Timestamp, packet: &FlowPacket) {
+        let sequence = packet.data_sequence.unwrap_or_default();
+        let acknowledged = self.acknowledged_before.wrapping_add(self.answered);
+        let ahead = packet.acknowledged.wrapping_sub(acknowledged);
+        let is_first = self.asked_end == 0;
+        self.acknowledged_before = if is_first || ahead < HALF {
+            packet.acknowledged
+        } else {
+            acknowledged
+        };
+        self.asked_end = sequence.wrapping_add(u32::from(packet.data_length)).max(1);
+        self.asked_at = Some(now);
+        self.answered = 0;
+        self.first_after = 0;
+    }
+
+    fn acknowledge(&mut self, now: Timestamp, acknowledged: u32) {
+        let bytes = acknowledged.wrapping_sub(self.acknowledged_before);
+        if bytes >= HALF || bytes <= self.answered {
+            return;
+        }
+        if self.answered == 0
+            && let Some(asked_at) = self.asked_at
+        {
+            let after = now.since(asked_at).as_micros();
+            self.first_after = u32::try_from(after).unwrap_or(u32::MAX);
+        }
+        self.answered = bytes;
+    }
+}
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -3,6 +3,7 @@
 //! A host hands in what the store and peers say, does the effects, and publishes the forwarding
 //! table after each change.
 
+mod outlying;
 mod probing;
 
 use crate::cookie::exchange::{
@@ -11,6 +12,7 @@
 use crate::cookie::follower::{Update, WatchPlan};
 use crate::cookie::freshness::ObjectKind;
 use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use crate::cookie::outliers::OutlierSettings;
 use crate::cookie::reachability::ReachabilityMonitor;
 use crate::cookie::replica::{Replica, Snapshot, StateChange, Versions};
 use crate::cookie::revision::Revision;
@@ -18,6 +20,7 @@
 use crate::cookie::stall::StallDetector;
 use crate::cookie::zones::{DrainedZone, ZoneEvent};
 use crate::time::Timestamp;
+use outlying::OutlierDuty;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -56,6 +59,7 @@
     exchange: Exchange,
     stall: StallDetector,
     reachability: ReachabilityMonitor,
+    outlying: OutlierDuty,
     /// By [`ObjectKind`]: whether the last call to the store was answered.
     store_usable: [bool; ObjectKind::COUNT],
 }
@@ -69,6 +73,7 @@
             exchange,
             stall: StallDetector::new(),
             reachability: ReachabilityMonitor::default(),
+            outlying: OutlierDuty::new(OutlierSettings::default()),
             store_usable: [true; ObjectKind::COUNT],
         }
     }
@@ -208,6 +213,7 @@
             PeerDatagram::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat),
             PeerDatagram::Delta(message) => self.delta(now, from, message),
             PeerDatagram::Question(question) => self.question(now, &question),
+            PeerDatagram::Outliers(message) => self.outlier_message(now, &message),
         }
     }
 
--- a/crates/bellyoke-core/src/cookie/exchange/effect.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/effect.rs
@@ -1,6 +1,7 @@
 //! What the exchange wants its host to do.
 
 use super::message::{Heartbeat, Question};
+use super::outliers::OutlierMessage;
 use crate::cookie::replica::Versions;
 use std::net::SocketAddrV4;
 
@@ -30,6 +31,13 @@
         /// Which instances.
         question: Question,
     },
+    /// Tell a peer of instances whose answers fail.
+    SendOutliers {
+        /// To whom.
+        to: SocketAddrV4,
+        /// What.
+        message: OutlierMessage,
+    },
     /// Fetch a snapshot.
     Fetch {
         /// From whom.
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -5,6 +5,7 @@
 //! trusted: length, tag and archive are validated, and lists are bounded.
 
 use super::candidates::{WATCHERS, WatcherClaim};
+use super::outliers::OutlierMessage;
 use super::packed::PackedSnapshot;
 use crate::cookie::delta::StateDelta;
 use crate::cookie::replica::{Snapshot, Versions};
@@ -31,6 +32,9 @@
 /// Kind byte of a question about instances.
 const QUESTION_KIND: u8 = 5;
 
+/// Kind byte of what is told of instances whose answers fail.
+pub(super) const OUTLIER_KIND: u8 = 7;
+
 const TAG_LENGTH: usize = blake3::OUT_LEN;
 const HEADER_LENGTH: usize = 2 + TAG_LENGTH;
 
@@ -95,6 +99,8 @@
     Delta(DeltaMessage),
     /// Instances in question.
     Question(Question),
+    /// Instances whose answers fail.
+    Outliers(OutlierMessage),
 }
 
 impl PeerDatagram {
@@ -107,6 +113,7 @@
         match bytes.get(1) {
             Some(&DELTA_KIND) => DeltaMessage::decode(bytes, key).map(Self::Delta),
             Some(&QUESTION_KIND) => Question::decode(bytes, key).map(Self::Question),
+            Some(&OUTLIER_KIND) => OutlierMessage::decode(bytes, key).map(Self::Outliers),
             _ => Heartbeat::decode(bytes, key).map(Self::Heartbeat),
         }
     }
@@ -346,7 +353,7 @@
 }
 
 /// Archives and seals a message.
-fn encode<Message>(
+pub(super) fn encode<Message>(
     message: &Message,
     key: &PeerKey,
     kind: u8,
@@ -367,7 +374,7 @@
 }
 
 /// Opens and validates a message.
-fn decode<Message>(
+pub(super) fn decode<Message>(
     bytes: &[u8],
     key: &PeerKey,
     kind: u8,
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -18,6 +18,7 @@
 mod effect;
 mod fetches;
 mod message;
+mod outliers;
 mod packed;
 mod peers;
 mod settings;
@@ -32,6 +33,8 @@
     MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerDatagram, PeerKey,
     Question, decode_snapshot, encode_snapshot,
 };
+pub(crate) use outliers::tallies_of;
+pub use outliers::{OutlierMessage, ReportedTally};
 pub use peers::PeerRecord;
 pub use settings::ExchangeSettings;
 
--- a/crates/bellyoke-core/src/cookie/flows.rs
+++ b/crates/bellyoke-core/src/cookie/flows.rs
@@ -117,6 +117,12 @@
         young.or_else(|| self.old.get(&flow_hash))
     }
 
+    /// The same, to be changed.
+    pub fn get_mut(&mut self, flow_hash: u64) -> Option<&mut FlowRecord> {
+        let young = self.young.get_mut(&flow_hash);
+        young.or_else(|| self.old.get_mut(&flow_hash))
+    }
+
     /// Forgets a flow that has ended, and returns what was remembered of it.
     pub fn remove(&mut self, flow_hash: u64) -> Option<FlowRecord> {
         let young = self.young.remove(&flow_hash);
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,9 +1,12 @@
 //! The decision for each packet.
 
+use crate::cookie::answers::{AnswerMonitor, AnswerQuality, JudgedSample};
 use crate::cookie::cold::{ColdLimiter, ColdShare};
+use crate::cookie::flows::FlowTable;
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
+use crate::cookie::outliers::{InstanceTally, TallyBook};
 use crate::cookie::packet::{Destination, FlowPacket, PacketRole};
 use crate::cookie::placement::{Suitability, choose_instance, choose_part, mix};
 use crate::cookie::seen::{AcknowledgementTable, SeenTable, data_key};
@@ -40,6 +43,21 @@
 /// Most sound instances that are told: a few are enough for controls.
 const MAXIMUM_SOUND: usize = 8;
 
+/// Flows that are remembered, and for how long one may rest.
+const FLOW_CAPACITY: usize = 4_096;
+const FLOW_REST: Duration = Duration::from_secs(15);
+
+/// One of so many flows that may be repeated goes to an outlier as if it were none, to try it. With a third of
+/// a service set aside that is an eighth of what they had.
+const TRIAL_INTERVAL: u64 = 32;
+
+/// Keeps the choice of flows that try outliers independent from that of the instance.
+const TRIAL_SALT: u64 = 0x6f75_746c_6965_7201;
+
+/// What a failed request counts as load, in packets: an instance that fails at once looks idle, and
+/// must not be preferred for it.
+const FAILURE_WEIGHT: f32 = 16.0;
+
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -114,6 +132,11 @@
     /// Instances that showed life while probes spoke against them: they only take no connections, so
     /// that probes tell nothing of them.
     proven: BTreeSet<Cookie>,
+    flows: FlowTable,
+    answers: AnswerMonitor,
+    tallies: TallyBook,
+    /// Instances whose answers fail, unlike those of others.
+    outliers: BTreeSet<Cookie>,
 }
 
 impl Forwarder {
@@ -130,6 +153,10 @@
             cold: ColdLimiter::new(None, 0),
             alive_at: SeenTable::new(INSTANCE_PLACES),
             proven: BTreeSet::new(),
+            flows: FlowTable::new(FLOW_CAPACITY, FLOW_REST),
+            answers: AnswerMonitor::default(),
+            tallies: TallyBook::default(),
+            outliers: BTreeSet::new(),
         }
     }
 
@@ -167,6 +194,10 @@
         self.cold.expire(now);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
+        let judged = self.answers.review(now, table, &mut self.flows);
+        for judged in judged {
+            self.note_answer(now, &judged);
+        }
         self.proven.retain(|cookie| is_known(*cookie));
         self.monitor.take_changes()
     }
@@ -204,9 +235,29 @@
         }
     }
 
+    /// Instances whose answers fail, unlike those of others: others are preferred.
+    pub fn set_outliers(&mut self, outliers: &BTreeSet<Cookie>) {
+        if self.outliers != *outliers {
+            self.outliers.clone_from(outliers);
+        }
+    }
+
+    /// What became of the requests that this thread saw since the last call.
+    pub fn take_tallies(&mut self) -> Vec<InstanceTally> {
+        self.tallies.take()
+    }
+
+    fn note_answer(&mut self, now: Timestamp, judged: &JudgedSample) {
+        self.tallies.note(judged);
+        if judged.quality == AnswerQuality::Failed {
+            self.loads.count(now, judged.sample.cookie, FAILURE_WEIGHT);
+        }
+    }
+
     /// The process stood still: openings under way prove nothing.
     pub fn stalled(&mut self) {
         self.monitor.forget_pending();
+        self.answers.forget_requests(&mut self.flows);
     }
 
     fn open(
@@ -227,7 +278,9 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let candidates = table.candidates(part);
-        let Some((chosen, suitability)) = self.choose(now, candidates, flow_hash, attempt) else {
+        let tries = route.terms.kind.may_repeat() && tries_outliers(flow_hash);
+        let chosen = self.choose(now, candidates, flow_hash, attempt, tries);
+        let Some((chosen, suitability)) = chosen else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let destination = chosen.destination();
@@ -250,11 +303,20 @@
         candidates: &'table [Candidate],
         flow_hash: u64,
         attempt: u32,
+        tries_outliers: bool,
     ) -> Option<(&'table Candidate, Suitability)> {
         // All instances of a service bear the same while they are cold.
         let cold_flows = candidates.first()?.cold_flows_per_minute;
         let share = self.cold.share(cold_flows);
-        let suitability = |candidate: &Candidate| self.suitability(now, candidate, share);
+        let suitability = |candidate: &Candidate| {
+            let suitability = self.suitability(now, candidate, share)?;
+            let is_tried = tries_outliers && suitability == Suitability::Outlier;
+            Some(if is_tried {
+                Suitability::Full
+            } else {
+                suitability
+            })
+        };
         let load = |candidate: &Candidate| {
             // A dead instance is idle too, but not therefore to be preferred.
             if self.monitor.is_doubted(candidate.cookie) {
@@ -286,6 +348,9 @@
         if self.is_avoided(cookie) || self.monitor.is_suspected(now, cookie) {
             return Some(Suitability::Suspected);
         }
+        if self.outliers.contains(&cookie) {
+            return Some(Suitability::Outlier);
+        }
         Some(if is_cold {
             Suitability::Cold
         } else {
@@ -353,7 +418,13 @@
             return Decision::Reset(ResetReason::Unreachable);
         }
         self.loads.count(now, cookie, PACKET_WEIGHT);
-        let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
+        let flow_hash = packet.flow.hash();
+        let opened_after = self.monitor.progress(now, flow_hash, cookie);
+        let record = self.flows.note(now, flow_hash, packet, cookie);
+        let judged = self.answers.observe(now, table, flow_hash, packet, record);
+        if let Some(judged) = judged {
+            self.note_answer(now, &judged);
+        }
         if opened_after.is_some() {
             self.lives(now, cookie);
         }
@@ -364,6 +435,11 @@
     }
 }
 
+/// Whether a flow tries an outlier as if it were none.
+const fn tries_outliers(flow_hash: u64) -> bool {
+    mix(flow_hash ^ TRIAL_SALT).is_multiple_of(TRIAL_INTERVAL)
+}
+
 fn life_key(cookie: Cookie) -> u64 {
     mix(u64::from(cookie.bits())) | 1
 }
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -11,7 +11,7 @@
 //!
 //! * one packet: [`packet`] and [`forwarder`], with [`flows`] seen of late and the [`answers`] to their requests, [`placement`] of new flows, the limit of [`cold`] instances,
 //!   [`load`] and [`health`] of
-//!   instances from the progress of openings, [`reachability`] of those in question by probes;
+//!   instances from the progress of openings, [`outliers`] by their answers, [`reachability`] of those in question by probes;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
 //!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
@@ -31,6 +31,7 @@
 pub mod instance;
 pub mod link;
 pub mod load;
+pub mod outliers;
 pub mod packet;
 pub mod placement;
 pub mod reachability;
--- a/crates/bellyoke-core/src/cookie/placement.rs
+++ b/crates/bellyoke-core/src/cookie/placement.rs
@@ -24,6 +24,8 @@
     RecentlyGone,
     /// Openings sent to it don't complete, or it can't be reached.
     Suspected,
+    /// Its answers fail or are late, unlike those of the service's other instances.
+    Outlier,
     /// It has just started and is slow.
     Cold,
     /// Nothing speaks against it.
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -162,6 +162,9 @@
                 ExchangeEffect::SendQuestion { to, question } => {
                     self.deliver(from, to, PeerDatagram::Question(question));
                 }
+                ExchangeEffect::SendOutliers { to, message } => {
+                    self.deliver(from, to, PeerDatagram::Outliers(message));
+                }
                 ExchangeEffect::Fetch { from: source } => self.fetch(from, source),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -380,6 +380,9 @@
                 ExchangeEffect::SendQuestion { to, question } => {
                     self.send_datagram(node, to, PeerDatagram::Question(question));
                 }
+                ExchangeEffect::SendOutliers { to, message } => {
+                    self.send_datagram(node, to, PeerDatagram::Outliers(message));
+                }
                 ExchangeEffect::Fetch { from } => self.fetch(node, from),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-node/src/connection/peers.rs
+++ b/crates/bellyoke-node/src/connection/peers.rs
@@ -5,8 +5,8 @@
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::exchange::{
     DecodeError, EncodeError, ExchangeEffect, FETCH_PATIENCE, FetchRequest, Heartbeat,
-    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerKey, Question,
-    decode_snapshot, encode_snapshot,
+    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, OutlierMessage,
+    PeerKey, Question, decode_snapshot, encode_snapshot,
 };
 use bellyoke_core::cookie::replica::{Snapshot, Versions};
 use bellyoke_process::log::log_event;
@@ -76,6 +76,7 @@
                     }
                 }
                 ExchangeEffect::SendQuestion { to, question } => self.send_question(to, &question),
+                ExchangeEffect::SendOutliers { to, message } => self.send_outliers(to, &message),
                 ExchangeEffect::Fetch { from } => {
                     tokio::task::spawn_local(fetch(self.clone(), from));
                 }
@@ -108,6 +109,15 @@
         }
     }
 
+    fn send_outliers(&self, to: SocketAddrV4, message: &OutlierMessage) {
+        let control = self.control.borrow();
+        if let Ok(bytes) = message.encode(control.peer_key())
+            && self.socket.try_send_to(&bytes, to.into()).is_ok()
+        {
+            control.metrics().outlier_messages_sent.inc();
+        }
+    }
+
     /// Sends what a peer lacks. Returns false if a delta can't tell it.
     fn send_delta(&self, to: SocketAddrV4, known: Versions) -> bool {
         let control = self.control.borrow();
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -238,6 +238,7 @@
         self.forwarder.set_peer_suspicions(&suspected);
         self.log_health_changes(now, table);
         self.exchange_doubts(now);
+        self.exchange_answers();
         let failing: Vec<Cookie> = self.forwarder.failing_instances().collect();
         if **self.shared.failing.load() != failing {
             self.shared.failing.store(Arc::new(failing));
@@ -266,6 +267,17 @@
         }
     }
 
+    /// Hands on what became of requests, and hears whose answers fail. What the control thread has not taken
+    /// yet waits here.
+    fn exchange_answers(&mut self) {
+        self.forwarder.set_outliers(&self.shared.outliers.load());
+        if let Ok(mut tallies) = self.shared.tallies.try_lock()
+            && tallies.is_empty()
+        {
+            *tallies = self.forwarder.take_tallies();
+        }
+    }
+
     fn show_link(&mut self, now: Timestamp) {
         let (rate, held) = (self.sender.bytes_per_second(), self.sender.held());
         self.shared.packets.show_link(rate, held);
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -84,7 +84,8 @@
         );
         Self {
             clock: shared.clock,
-            coordinator: Coordinator::new(replica(&settings.timing), exchange),
+            coordinator: Coordinator::new(replica(&settings.timing), exchange)
+                .with_outlier_settings(settings.outliers.detection()),
             lifecycle: Lifecycle::new(settings.timing.leave_grace()),
             random,
             peer_key: PeerKey::default(),
@@ -269,6 +270,7 @@
         match datagram {
             PeerDatagram::Heartbeat(_) => self.metrics.heartbeats_received.inc(),
             PeerDatagram::Delta(_) => self.metrics.deltas_received.inc(),
+            PeerDatagram::Outliers(_) => self.metrics.outlier_messages_received.inc(),
             PeerDatagram::Question(_) => {
                 self.asked.notify_one();
                 self.metrics.questions_received.inc()
@@ -324,6 +326,7 @@
         }
         let mut effects = outcome.effects;
         effects.extend(self.exchange_suspicions(now));
+        effects.extend(self.review_outliers(now));
         self.show_unreachable(now);
         self.note_duty(now);
         let nodes = self.coordinator.nodes_at_most(now).ceil();
@@ -386,6 +389,30 @@
         }
     }
 
+    /// Takes over what became of requests, and tells the traffic thread whose answers fail.
+    fn review_outliers(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
+        let table = self.shared.table.load_full();
+        let tallies = self
+            .shared
+            .tallies
+            .lock()
+            .map(|mut held| std::mem::take(&mut *held));
+        self.coordinator
+            .note_answers(now, &table, &tallies.unwrap_or_default());
+        let (changes, effects) = self.coordinator.review_outliers(now, &table);
+        for change in changes {
+            self.log_outlier(now, &change);
+        }
+        let outliers = self.coordinator.outliers();
+        if **self.shared.outliers.load() != *outliers {
+            self.metrics
+                .outliers
+                .set(i64::try_from(outliers.len()).unwrap_or(i64::MAX));
+            self.shared.outliers.store(Arc::new(outliers.clone()));
+        }
+        effects
+    }
+
     /// Tells peers at once of a new suspicion, and the traffic thread of theirs.
     fn exchange_suspicions(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -4,6 +4,7 @@
 use super::Control;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::outliers::OutlierChange;
 use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
 use bellyoke_core::cookie::route::Configuration;
@@ -105,6 +106,26 @@
             .log(event, now, format_args!("cookie={cookie:08x}"));
     }
 
+    pub(super) fn log_outlier(&mut self, now: Timestamp, change: &OutlierChange) {
+        let event = if change.is_outlier {
+            EventCode::OutlierSetAside
+        } else {
+            EventCode::OutlierLetBack
+        };
+        self.limiter.log(
+            event,
+            now,
+            format_args!(
+                "cookie={:08x} bad={:.1} asked={:.1} usual_part={:.2} held_milliseconds={}",
+                change.cookie.bits(),
+                change.bad,
+                change.asked,
+                change.usual_part,
+                change.held.as_millis()
+            ),
+        );
+    }
+
     pub(super) fn log_zones(&mut self, source: Source) {
         let now = self.clock.now();
         let zones = self.coordinator.replica().zones();
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -47,6 +47,12 @@
     pub probes: Family<ProbeLabels, Counter>,
     /// Instances that this node can't reach.
     pub unreachable: Gauge,
+    /// Instances whose answers fail, so that others are preferred.
+    pub outliers: Gauge,
+    /// Reports and verdicts of answers sent to peers.
+    pub outlier_messages_sent: Counter,
+    /// Reports and verdicts of answers received.
+    pub outlier_messages_received: Counter,
     /// Deltas sent to peers.
     pub deltas_sent: Counter,
     /// Deltas received.
@@ -82,6 +88,9 @@
             questions_received: Counter::default(),
             probes: Family::default(),
             unreachable: Gauge::default(),
+            outliers: Gauge::default(),
+            outlier_messages_sent: Counter::default(),
+            outlier_messages_received: Counter::default(),
             deltas_sent: Counter::default(),
             deltas_received: Counter::default(),
             heartbeats_rejected: Counter::default(),
@@ -124,6 +133,16 @@
                 "Questions about instances sent to peers",
                 &metrics.questions_sent,
             ),
+            (
+                "outlier_messages_sent",
+                "Reports and verdicts of answers sent to peers",
+                &metrics.outlier_messages_sent,
+            ),
+            (
+                "outlier_messages_received",
+                "Reports and verdicts of answers received",
+                &metrics.outlier_messages_received,
+            ),
             ("deltas_sent", "Deltas sent to peers", &metrics.deltas_sent),
             (
                 "deltas_received",
@@ -160,6 +179,11 @@
                 "Instances that this node can't reach",
                 &metrics.unreachable,
             ),
+            (
+                "outliers",
+                "Instances whose answers fail, unlike those of others",
+                &metrics.outliers,
+            ),
             ("peers", "Peers heard of late", &metrics.peers),
             (
                 "instances",
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of the daemon.
 
 use bellyoke_core::cookie::cold::ColdAllowance;
+use bellyoke_core::cookie::outliers::OutlierSettings;
 use bellyoke_process::log::LogSettings;
 use bellyoke_process::settings::descriptor::DefaultValue::{Absent, Literal, Required};
 use bellyoke_process::settings::descriptor::{
@@ -55,6 +56,8 @@
         "Factor to the flows that cold instances are said to bear, up to which all nodes together may open flows there. Without it they have no limit, whatever `slack` says."),
     key("cold", "slack", "flows/s", integer(0, 1_000_000), Literal("0"),
         "Flows a second that cold instances may get beyond that."),
+    key("outliers", "largest_share", "", number(0, 1), Literal("0.4"),
+        "Largest part of a service's instances to which others are preferred since their answers fail or are late. With zero nodes don't report answers, and none is set aside."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -83,6 +86,8 @@
     pub timing: TimingSettings,
     /// What cold instances may get.
     pub cold: ColdSettings,
+    /// Instances whose answers fail.
+    pub outliers: OutlierShare,
     /// The log.
     pub log: LogSettings,
 }
@@ -164,6 +169,25 @@
     pub slack: u32,
 }
 
+/// Instances whose answers fail.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OutlierShare {
+    /// Largest part of a service's instances that are set aside.
+    pub largest_share: f64,
+}
+
+impl OutlierShare {
+    /// When an instance stands out.
+    #[must_use]
+    pub fn detection(&self) -> OutlierSettings {
+        OutlierSettings {
+            largest_share: self.largest_share,
+            ..OutlierSettings::default()
+        }
+    }
+}
+
 impl ColdSettings {
     /// The limit, if there is one.
     #[must_use]
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -3,11 +3,13 @@
 use crate::packet::PacketCounters;
 use arc_swap::ArcSwap;
 use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::outliers::InstanceTally;
 use bellyoke_core::cookie::stall::TickReport;
 use bellyoke_core::cookie::table::ForwardingTable;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
 use std::collections::BTreeSet;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::mpsc::Sender;
 
@@ -32,6 +34,10 @@
     pub nodes: AtomicU64,
     /// Instances at which the traffic thread's openings completed a moment ago.
     pub sound: ArcSwap<Vec<Cookie>>,
+    /// Instances whose answers fail, for the traffic thread.
+    pub outliers: ArcSwap<BTreeSet<Cookie>>,
+    /// What the traffic thread saw of answers, for the control thread. The traffic thread doesn't wait for it.
+    pub tallies: Mutex<Vec<InstanceTally>>,
     /// Where the traffic thread says which instances it doubts.
     pub doubts: Sender<Vec<Cookie>>,
     last_tick: AtomicU64,
@@ -55,6 +61,8 @@
             nodes: AtomicU64::new(u64::MAX),
             avoided: ArcSwap::default(),
             sound: ArcSwap::default(),
+            outliers: ArcSwap::default(),
+            tallies: Mutex::default(),
             doubts,
             last_tick: AtomicU64::new(clock.now().as_micros()),
             stalls: AtomicU64::new(0),
