--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -132,6 +132,7 @@
     MetricsUnavailable = 833, Warn, "The address of the metrics cannot be bound; the node runs without it.";
     OutlierSetAside = 845, Warn, "Requests to an instance fail or are answered late, unlike those to the service's other instances; others are preferred.";
     OutlierLetBack = 846, Info, "An instance that was set aside for its answers gets new flows like others again.";
+    OutliersChanged = 847, Info, "What this node has heard of instances whose answers fail has changed; others are preferred to these.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/tests/cookie/answers.rs
+++ b/crates/bellyoke-core/tests/cookie/answers.rs
@@ -1,6 +1,6 @@
 //! What became of requests, as far as their clients' packets tell.
 
-use crate::support::{SERVICE, at, configuration, flow, later, node, of_service, record};
+use crate::support::{SERVICE, at, configuration, later, node, of_service, record};
 use bellyoke_core::cookie::answers::{AnswerFate, AnswerMonitor, AnswerQuality, JudgedSample};
 use bellyoke_core::cookie::flows::FlowTable;
 use bellyoke_core::cookie::instance::{Cookie, InstanceId};
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -11,6 +11,7 @@
 mod health;
 mod link;
 mod message;
+mod outlier_placement;
 mod outliers;
 mod placement;
 mod reachability;
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -397,18 +397,18 @@
             .tallies
             .lock()
             .map(|mut held| std::mem::take(&mut *held));
-        self.coordinator
-            .note_answers(now, &table, &tallies.unwrap_or_default());
+        let tallies = tallies.unwrap_or_default();
+        self.count_answers(&tallies);
+        self.coordinator.note_answers(now, &table, &tallies);
         let (changes, effects) = self.coordinator.review_outliers(now, &table);
         for change in changes {
             self.log_outlier(now, &change);
         }
         let outliers = self.coordinator.outliers();
         if **self.shared.outliers.load() != *outliers {
-            self.metrics
-                .outliers
-                .set(i64::try_from(outliers.len()).unwrap_or(i64::MAX));
-            self.shared.outliers.store(Arc::new(outliers.clone()));
+            let outliers = Arc::new(outliers.clone());
+            self.log_outliers(now, &outliers);
+            self.shared.outliers.store(outliers);
         }
         effects
     }
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -1,15 +1,16 @@
 //! What the control thread tells of itself: log lines for changed beliefs, and gauges.
 
-use super::super::metrics::ProbeLabels;
+use super::super::metrics::{AnswerLabels, ProbeLabels};
 use super::Control;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::instance::Cookie;
-use bellyoke_core::cookie::outliers::OutlierChange;
+use bellyoke_core::cookie::outliers::{InstanceTally, OutlierChange};
 use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
 /// The gauge of the confirmation's age while there is none.
@@ -106,6 +107,34 @@
             .log(event, now, format_args!("cookie={cookie:08x}"));
     }
 
+    pub(super) fn count_answers(&self, tallies: &[InstanceTally]) {
+        for tally in tallies {
+            let usual = tally.asked.saturating_sub(tally.bad());
+            for (quality, count) in [
+                ("usual", usual),
+                ("slow", tally.slow),
+                ("failed", tally.failed),
+            ] {
+                let labels = AnswerLabels { quality };
+                let counter = self.metrics.answers.get_or_create(&labels);
+                counter.inc_by(u64::from(count));
+            }
+        }
+    }
+
+    pub(super) fn log_outliers(&mut self, now: Timestamp, outliers: &BTreeSet<Cookie>) {
+        let count = outliers.len();
+        let before = self.shared.outliers.load().len();
+        self.metrics
+            .outliers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.limiter.log(
+            EventCode::OutliersChanged,
+            now,
+            format_args!("outliers={count} before={before}"),
+        );
+    }
+
     pub(super) fn log_outlier(&mut self, now: Timestamp, change: &OutlierChange) {
         let event = if change.is_outlier {
             EventCode::OutlierSetAside
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -28,6 +28,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of what became of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// `usual`, `slow` or `failed`.
+    pub quality: &'static str,
+}
+
 /// What the control thread counts.
 #[derive(Debug)]
 pub struct ControlMetrics {
@@ -47,6 +54,8 @@
     pub probes: Family<ProbeLabels, Counter>,
     /// Instances that this node can't reach.
     pub unreachable: Gauge,
+    /// Requests by how their answers compared with the route's usual ones.
+    pub answers: Family<AnswerLabels, Counter>,
     /// Instances whose answers fail, so that others are preferred.
     pub outliers: Gauge,
     /// Reports and verdicts of answers sent to peers.
@@ -88,6 +97,7 @@
             questions_received: Counter::default(),
             probes: Family::default(),
             unreachable: Gauge::default(),
+            answers: Family::default(),
             outliers: Gauge::default(),
             outlier_messages_sent: Counter::default(),
             outlier_messages_received: Counter::default(),
@@ -173,6 +183,11 @@
             "Probes of instances in question by outcome",
             metrics.probes.clone(),
         );
+        registry.register(
+            "answers",
+            "Requests by how their answers compared with the usual ones of their route",
+            metrics.answers.clone(),
+        );
         let gauges = [
             (
                 "unreachable",
