--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -136,6 +136,9 @@
     DutyLeft = 862, Info, "This node has ceased to watch the store for all; the line tells the class of its machine, its zone and its rank among the claims.";
     ClaimLowered = 863, Warn, "This node's ticks are late or its link is full: duties go to others first.";
     ClaimRestored = 864, Info, "This node's ticks are on time again and its link is free; its machine counts as before.";
+    OutlierSetAside = 845, Warn, "Requests to an instance fail or are answered late, unlike those to the service's other instances; others are preferred.";
+    OutlierLetBack = 846, Info, "An instance that was set aside for its answers gets new flows like others again.";
+    OutliersChanged = 847, Info, "What this node has heard of instances whose answers fail has changed; others are preferred to these.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -3,6 +3,7 @@
 //! A host hands in what the store and peers say, does the effects, and publishes the forwarding
 //! table after each change.
 
+mod outlying;
 mod probing;
 
 use crate::cookie::capacity::BusyDetector;
@@ -12,6 +13,7 @@
 use crate::cookie::follower::{Update, WatchPlan};
 use crate::cookie::freshness::ObjectKind;
 use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use crate::cookie::outliers::OutlierSettings;
 use crate::cookie::reachability::ReachabilityMonitor;
 use crate::cookie::replica::{Replica, Snapshot, StateChange, Versions};
 use crate::cookie::revision::Revision;
@@ -19,6 +21,7 @@
 use crate::cookie::stall::StallDetector;
 use crate::cookie::zones::{DrainedZone, ZoneEvent};
 use crate::time::Timestamp;
+use outlying::OutlierDuty;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -59,6 +62,7 @@
     busy: BusyDetector,
     link_is_paced: bool,
     reachability: ReachabilityMonitor,
+    outlying: OutlierDuty,
     /// By [`ObjectKind`]: whether the last call to the store was answered.
     store_usable: [bool; ObjectKind::COUNT],
 }
@@ -74,6 +78,7 @@
             busy: BusyDetector::default(),
             link_is_paced: false,
             reachability: ReachabilityMonitor::default(),
+            outlying: OutlierDuty::new(OutlierSettings::default()),
             store_usable: [true; ObjectKind::COUNT],
         }
     }
@@ -219,6 +224,7 @@
             PeerDatagram::Delta(message) => self.delta(now, from, message),
             PeerDatagram::Question(question) => self.question(now, &question),
             PeerDatagram::Objection(objection) => self.objection(now, &objection),
+            PeerDatagram::Outliers(message) => self.outlier_message(now, &message),
         }
     }
 
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -5,6 +5,7 @@
 //! trusted: length, tag and archive are validated, and lists are bounded.
 
 use super::candidates::{WATCHERS, WatcherClaim};
+use super::outliers::OutlierMessage;
 use super::packed::PackedSnapshot;
 use crate::cookie::capacity::{NodePlace, ZoneNumber};
 use crate::cookie::delta::StateDelta;
@@ -35,6 +36,9 @@
 /// Kind byte of an objection to a question.
 const OBJECTION_KIND: u8 = 6;
 
+/// Kind byte of what is told of instances whose answers fail.
+pub(super) const OUTLIER_KIND: u8 = 7;
+
 const TAG_LENGTH: usize = blake3::OUT_LEN;
 const HEADER_LENGTH: usize = 2 + TAG_LENGTH;
 
@@ -134,6 +138,8 @@
     Question(Question),
     /// Instances in question that live.
     Objection(Objection),
+    /// Instances whose answers fail.
+    Outliers(OutlierMessage),
 }
 
 impl PeerDatagram {
@@ -147,6 +153,7 @@
             Some(&DELTA_KIND) => DeltaMessage::decode(bytes, key).map(Self::Delta),
             Some(&QUESTION_KIND) => Question::decode(bytes, key).map(Self::Question),
             Some(&OBJECTION_KIND) => Objection::decode(bytes, key).map(Self::Objection),
+            Some(&OUTLIER_KIND) => OutlierMessage::decode(bytes, key).map(Self::Outliers),
             _ => Heartbeat::decode(bytes, key).map(Self::Heartbeat),
         }
     }
@@ -413,7 +420,7 @@
 }
 
 /// Archives and seals a message.
-fn encode<Message>(
+pub(super) fn encode<Message>(
     message: &Message,
     key: &PeerKey,
     kind: u8,
@@ -434,7 +441,7 @@
 }
 
 /// Opens and validates a message.
-fn decode<Message>(
+pub(super) fn decode<Message>(
     bytes: &[u8],
     key: &PeerKey,
     kind: u8,
--- a/crates/bellyoke-core/tests/cookie/cluster.rs
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -81,6 +81,7 @@
         PeerDatagram::Delta(message) => ("delta", message.encode(&key)),
         PeerDatagram::Question(question) => ("question", question.encode(&key)),
         PeerDatagram::Objection(objection) => ("objection", objection.encode(&key)),
+        PeerDatagram::Outliers(message) => ("outliers", message.encode(&key)),
     };
     (kind, bytes.unwrap().len())
 }
@@ -216,6 +217,9 @@
                 ExchangeEffect::SendQuestion { to, question } => {
                     self.deliver(from, to, PeerDatagram::Question(question));
                 }
+                ExchangeEffect::SendOutliers { to, message } => {
+                    self.deliver(from, to, PeerDatagram::Outliers(message));
+                }
                 ExchangeEffect::SendObjection { to, objection } => {
                     self.deliver(from, to, PeerDatagram::Objection(objection));
                 }
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -1,5 +1,6 @@
 //! Forwarding by connection cookie: each invariant of [`bellyoke_core::cookie`].
 
+mod answers;
 mod cluster;
 mod cold;
 mod directory;
@@ -13,6 +14,8 @@
 mod health;
 mod link;
 mod message;
+mod outlier_placement;
+mod outliers;
 mod placement;
 mod reachability;
 mod replica;
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -383,6 +383,9 @@
                 ExchangeEffect::SendObjection { to, objection } => {
                     self.send_datagram(node, to, PeerDatagram::Objection(objection));
                 }
+                ExchangeEffect::SendOutliers { to, message } => {
+                    self.send_datagram(node, to, PeerDatagram::Outliers(message));
+                }
                 ExchangeEffect::Fetch { from } => self.fetch(node, from),
                 ExchangeEffect::PeerJoined(_) | ExchangeEffect::PeerLost(_) => {}
             }
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -87,7 +87,8 @@
         .standing_at(settings.place());
         Self {
             clock: shared.clock,
-            coordinator: Coordinator::new(replica(&settings.timing), exchange),
+            coordinator: Coordinator::new(replica(&settings.timing), exchange)
+                .with_outlier_settings(settings.outliers.detection()),
             lifecycle: Lifecycle::new(settings.timing.leave_grace()),
             random,
             peer_key: PeerKey::default(),
@@ -273,6 +274,7 @@
         match datagram {
             PeerDatagram::Heartbeat(_) => self.metrics.heartbeats_received.inc(),
             PeerDatagram::Delta(_) => self.metrics.deltas_received.inc(),
+            PeerDatagram::Outliers(_) => self.metrics.outlier_messages_received.inc(),
             PeerDatagram::Question(_) => {
                 self.asked.notify_one();
                 self.metrics.questions_received.inc()
@@ -340,6 +342,7 @@
         let mut effects = outcome.effects;
         effects.extend(self.exchange_suspicions(now));
         effects.extend(self.object(now));
+        effects.extend(self.review_outliers(now));
         self.show_unreachable(now);
         self.note_duty(now);
         let nodes = self.coordinator.nodes_at_most(now).ceil();
@@ -423,6 +426,30 @@
         effects
     }
 
+    /// Takes over what became of requests, and tells the traffic thread whose answers fail.
+    fn review_outliers(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
+        let table = self.shared.table.load_full();
+        let tallies = self
+            .shared
+            .tallies
+            .lock()
+            .map(|mut held| std::mem::take(&mut *held));
+        let tallies = tallies.unwrap_or_default();
+        self.count_answers(&tallies);
+        self.coordinator.note_answers(now, &table, &tallies);
+        let (changes, effects) = self.coordinator.review_outliers(now, &table);
+        for change in changes {
+            self.log_outlier(now, &change);
+        }
+        let outliers = self.coordinator.outliers();
+        if **self.shared.outliers.load() != *outliers {
+            let outliers = Arc::new(outliers.clone());
+            self.log_outliers(now, &outliers);
+            self.shared.outliers.store(outliers);
+        }
+        effects
+    }
+
     /// Tells peers at once of a new suspicion, and the traffic thread of theirs.
     fn exchange_suspicions(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -1,16 +1,18 @@
 //! What the control thread tells of itself: log lines for changed beliefs, and gauges.
 
-use super::super::metrics::{PeerBytesLabels, ProbeLabels};
+use super::super::metrics::{AnswerLabels, PeerBytesLabels, ProbeLabels};
 use super::Control;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::capacity::ZoneNumber;
 use bellyoke_core::cookie::exchange::StoreDuty;
 use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::outliers::{InstanceTally, OutlierChange};
 use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::sync::atomic::Ordering;
 
@@ -169,6 +171,54 @@
         );
     }
 
+    pub(super) fn count_answers(&self, tallies: &[InstanceTally]) {
+        for tally in tallies {
+            let usual = tally.asked.saturating_sub(tally.bad());
+            for (quality, count) in [
+                ("usual", usual),
+                ("slow", tally.slow),
+                ("failed", tally.failed),
+            ] {
+                let labels = AnswerLabels { quality };
+                let counter = self.metrics.answers.get_or_create(&labels);
+                counter.inc_by(u64::from(count));
+            }
+        }
+    }
+
+    pub(super) fn log_outliers(&mut self, now: Timestamp, outliers: &BTreeSet<Cookie>) {
+        let count = outliers.len();
+        let before = self.shared.outliers.load().len();
+        self.metrics
+            .outliers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.limiter.log(
+            EventCode::OutliersChanged,
+            now,
+            format_args!("outliers={count} before={before}"),
+        );
+    }
+
+    pub(super) fn log_outlier(&mut self, now: Timestamp, change: &OutlierChange) {
+        let event = if change.is_outlier {
+            EventCode::OutlierSetAside
+        } else {
+            EventCode::OutlierLetBack
+        };
+        self.limiter.log(
+            event,
+            now,
+            format_args!(
+                "cookie={:08x} bad={:.1} asked={:.1} usual_part={:.2} held_milliseconds={}",
+                change.cookie.bits(),
+                change.bad,
+                change.asked,
+                change.usual_part,
+                change.held.as_millis()
+            ),
+        );
+    }
+
     pub(super) fn log_zones(&mut self, source: Source) {
         let now = self.clock.now();
         let zones = self.coordinator.replica().zones();
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -37,6 +37,13 @@
     pub to: &'static str,
 }
 
+/// Labels of what became of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// `usual`, `slow` or `failed`.
+    pub quality: &'static str,
+}
+
 /// What the control thread counts.
 #[derive(Debug)]
 pub struct ControlMetrics {
@@ -62,6 +69,14 @@
     pub probes: Family<ProbeLabels, Counter>,
     /// Instances that this node can't reach.
     pub unreachable: Gauge,
+    /// Requests by how their answers compared with the route's usual ones.
+    pub answers: Family<AnswerLabels, Counter>,
+    /// Instances whose answers fail, so that others are preferred.
+    pub outliers: Gauge,
+    /// Reports and verdicts of answers sent to peers.
+    pub outlier_messages_sent: Counter,
+    /// Reports and verdicts of answers received.
+    pub outlier_messages_received: Counter,
     /// Deltas sent to peers.
     pub deltas_sent: Counter,
     /// Deltas received.
@@ -100,6 +115,10 @@
             objections_received: Counter::default(),
             probes: Family::default(),
             unreachable: Gauge::default(),
+            answers: Family::default(),
+            outliers: Gauge::default(),
+            outlier_messages_sent: Counter::default(),
+            outlier_messages_received: Counter::default(),
             deltas_sent: Counter::default(),
             deltas_received: Counter::default(),
             heartbeats_rejected: Counter::default(),
@@ -157,6 +176,16 @@
                 "Objections to questions about instances sent to peers",
                 &metrics.objections_sent,
             ),
+            (
+                "outlier_messages_sent",
+                "Reports and verdicts of answers sent to peers",
+                &metrics.outlier_messages_sent,
+            ),
+            (
+                "outlier_messages_received",
+                "Reports and verdicts of answers received",
+                &metrics.outlier_messages_received,
+            ),
             ("deltas_sent", "Deltas sent to peers", &metrics.deltas_sent),
             (
                 "deltas_received",
@@ -187,12 +216,22 @@
             "Probes of instances in question by outcome",
             metrics.probes.clone(),
         );
+        registry.register(
+            "answers",
+            "Requests by how their answers compared with the usual ones of their route",
+            metrics.answers.clone(),
+        );
         let gauges = [
             (
                 "unreachable",
                 "Instances that this node can't reach",
                 &metrics.unreachable,
             ),
+            (
+                "outliers",
+                "Instances whose answers fail, unlike those of others",
+                &metrics.outliers,
+            ),
             ("peers", "Peers heard of late", &metrics.peers),
             (
                 "instances",
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -2,6 +2,7 @@
 
 use bellyoke_core::cookie::capacity::{MachineCapacity, NodePlace, ZoneNumber};
 use bellyoke_core::cookie::cold::ColdAllowance;
+use bellyoke_core::cookie::outliers::OutlierSettings;
 use bellyoke_process::log::LogSettings;
 use bellyoke_process::settings::descriptor::DefaultValue::{Absent, Literal, Required};
 use bellyoke_process::settings::descriptor::{
@@ -62,6 +63,8 @@
         "Open flows that a node remembers, about 100 bytes each. Beyond them those are forgotten first that sent nothing for longest; they end by their first packet, not while they rest."),
     key("flows", "end_resting", "", ValueKind::Choice(&["on", "off"]), Literal("\"on\""),
         "Whether resting flows of an instance that has ended are reset, before their clients send anything."),
+    key("outliers", "largest_share", "", number(0, 1), Literal("0.4"),
+        "Largest part of a service's instances to which others are preferred since their answers fail or are late. With zero nodes don't report answers, and none is set aside."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -94,6 +97,8 @@
     pub cold: ColdSettings,
     /// Flows that the node remembers.
     pub flows: FlowSettings,
+    /// Instances whose answers fail.
+    pub outliers: OutlierShare,
     /// The log.
     pub log: LogSettings,
 }
@@ -215,6 +220,25 @@
     Off,
 }
 
+/// Instances whose answers fail.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OutlierShare {
+    /// Largest part of a service's instances that are set aside.
+    pub largest_share: f64,
+}
+
+impl OutlierShare {
+    /// When an instance stands out.
+    #[must_use]
+    pub fn detection(&self) -> OutlierSettings {
+        OutlierSettings {
+            largest_share: self.largest_share,
+            ..OutlierSettings::default()
+        }
+    }
+}
+
 impl ColdSettings {
     /// The limit, if there is one.
     #[must_use]
