Let seeds name others that know as much, and newcomers fetch from those

A reply to a node that lacks everything of a kind names up to six peers, of its zone first, that were heard within 2 s and know all; it fetches from one of them, by zone and class, the seed among them. A reply to such a node is a heartbeat, never a delta that holds the drained zones alone: that named no peers.

--- a/crates/bellyoke-core/src/cookie/exchange/fetches.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/fetches.rs
@@ -50,6 +50,11 @@
         now >= self.not_before[purpose as usize] && alike.count() < MAXIMUM_RUNNING
     }
 
+    /// The next fetch needn't wait for the one before.
+    pub(super) const fn may_begin_at_once(&mut self) {
+        self.not_before = [Timestamp::ZERO; 2];
+    }
+
     /// Whether a fetch from a peer is under way.
     pub(super) fn runs(&self, from: SocketAddrV4) -> bool {
         self.running.iter().any(|fetch| fetch.from == from)
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -54,6 +54,8 @@
     pub versions: Versions,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// Whether the peers that it tells of know about as much, so that the receiver may fetch from them.
+    pub peers_know: bool,
     /// How long ago its state was known to be the newest, milliseconds; none if it never was.
     pub confirmed_age_milliseconds: Option<u32>,
     /// Where it stands, and what it can bear.
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -93,6 +93,8 @@
     told_confirmation: Timestamp,
     distrust_until: Timestamp,
     introductions: u32,
+    /// Whether a peer that another one named as a source had nothing.
+    misled: bool,
     failing: Vec<Cookie>,
     size: ClusterSize,
 }
@@ -128,6 +130,7 @@
             told_confirmation: Timestamp::ZERO,
             distrust_until: Timestamp::ZERO,
             introductions: INTRODUCTIONS,
+            misled: false,
             failing: Vec::new(),
             size: ClusterSize::default(),
         };
@@ -349,7 +352,9 @@
     /// A snapshot of a peer with these versions was taken over.
     pub fn fetched(&mut self, from: SocketAddrV4, versions: Versions) {
         self.fetches.end(from);
-        if !versions.is_empty() {
+        if versions.is_empty() {
+            self.note_fruitless(from);
+        } else {
             self.introductions = self.introductions.saturating_sub(1);
         }
     }
@@ -357,7 +362,16 @@
     /// A fetch from `from` came to nothing.
     pub fn fetch_failed(&mut self, from: SocketAddrV4) {
         self.fetches.end(from);
-        self.peers.discredit(from);
+        self.note_fruitless(from);
+    }
+
+    /// A peer has nothing for this node: it isn't asked again before it speaks, and from now on only those
+    /// are that spoke themselves. What others tell is old where many have just started anew.
+    fn note_fruitless(&mut self, from: SocketAddrV4) {
+        if self.peers.discredit(from) && !self.misled {
+            self.misled = true;
+            self.fetches.may_begin_at_once();
+        }
     }
 
     fn jittered_period(&mut self) -> Duration {
@@ -405,10 +419,13 @@
         Heartbeat {
             versions: own,
             leaving: self.leaving,
+            peers_know: false,
             confirmed_age_milliseconds: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
             place: self.own_place(),
             claims: self.claims.claims(now),
-            peers: self.peers.suggestions_for(to, most_peers, &mut self.random),
+            peers: self
+                .peers
+                .suggestions_for(to, most_peers, &mut self.random, |_| true),
             zones: self.zone_sizes.told(now),
             failing: self.failing.iter().map(|cookie| cookie.bits()).collect(),
         }
@@ -429,8 +446,13 @@
         if !(sender_is_behind || sender_is_lonely) || !self.peers.may_reply(now, to) {
             return;
         }
-        let heartbeat = self.heartbeat_for(now, to, own, Heartbeat::MAXIMUM_PEERS);
-        effects.push(if sender_is_behind {
+        let mut heartbeat = self.heartbeat_for(now, to, own, Heartbeat::MAXIMUM_PEERS);
+        // No delta tells a node all that lacks everything of a kind: it has to know whom to ask.
+        let has_to_fetch = known.is_empty() && !own.is_empty();
+        if has_to_fetch {
+            self.name_sources(now, to, &mut heartbeat);
+        }
+        effects.push(if sender_is_behind && !has_to_fetch {
             ExchangeEffect::SendDelta {
                 to,
                 known,
@@ -449,7 +471,10 @@
         effects: &mut Vec<ExchangeEffect>,
     ) {
         let zone = self.own_zone();
-        let Some((from, versions)) = self.peers.newest(zone, behind, &mut self.random) else {
+        let Some((from, versions)) =
+            self.peers
+                .newest(zone, !self.misled, behind, &mut self.random)
+        else {
             self.behind_since = None;
             self.introduce(now, effects);
             return;
@@ -469,7 +494,7 @@
         if self.introductions == 0 {
             return;
         }
-        if let Some(from) = self.peers.sample_heard(self.own_zone(), &mut self.random) {
+        if let Some(from) = self.peers.sample_alive(self.own_zone(), &mut self.random) {
             self.fetch(now, from, FetchPurpose::Introduction, effects);
         }
     }
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -33,7 +33,7 @@
     pub heard: bool,
     /// Where it stands, and what it can bear.
     pub place: NodePlace,
-    /// How much it knows.
+    /// How much it knows, as it told itself or another told of it.
     pub versions: Versions,
     /// Instances that don't complete its openings.
     pub failing: Vec<Cookie>,
@@ -87,15 +87,20 @@
         !std::mem::replace(&mut record.heard, true)
     }
 
-    /// Notes a peer that another one told of, until it speaks itself or is forgotten.
+    /// Notes a peer that another one told of, until it speaks itself or is forgotten, and how much it is
+    /// said to know.
     pub(super) fn suggest(
         &mut self,
         now: Timestamp,
         own_zone: ZoneNumber,
-        address: SocketAddrV4,
-        place: NodePlace,
+        peer: &PeerSuggestion,
+        known: Versions,
     ) {
-        if self.knows(address) {
+        let (address, place) = (peer.address, peer.place);
+        if let Some(record) = self.records.get_mut(&address) {
+            if !record.heard && record.versions.is_empty() {
+                record.versions = known;
+            }
             return;
         }
         if self.records.len() >= MAXIMUM_PEERS && !self.is_scarce(own_zone, place.zone) {
@@ -106,7 +111,7 @@
             noted_at: now,
             heard: false,
             place,
-            versions: Versions::default(),
+            versions: known,
             failing: Vec::new(),
             replied_at: None,
         };
@@ -139,14 +144,15 @@
         }
     }
 
-    /// A peer that is alive, of the own zone if there is one.
-    pub(super) fn sample_heard(
+    /// A peer that is alive, by its own word or another's, of the own zone if there is one.
+    pub(super) fn sample_alive(
         &self,
         zone: ZoneNumber,
         random: &mut impl Rng,
     ) -> Option<SocketAddrV4> {
-        let heard = self.records.iter().filter(|(_, record)| record.heard);
-        choose_source(zone, heard, random).map(|(address, _)| address)
+        let alive = self.records.iter();
+        let alive = alive.filter(|(_, record)| record.heard || !record.versions.is_empty());
+        choose_source(zone, alive, random).map(|(address, _)| address)
     }
 
     /// The zone of a peer that is known.
@@ -219,9 +225,12 @@
         receiver: SocketAddrV4,
         count: usize,
         random: &mut impl Rng,
+        wanted: impl Fn(&PeerRecord) -> bool,
     ) -> Vec<PeerSuggestion> {
-        let alive = self.records.iter();
-        let alive = alive.filter(|(address, record)| record.heard && **address != receiver);
+        let alive = self
+            .records
+            .iter()
+            .filter(|(address, record)| record.heard && **address != receiver && wanted(record));
         let mut alive: Vec<PeerSuggestion> = alive
             .map(|(address, record)| PeerSuggestion {
                 address: *address,
@@ -257,26 +266,33 @@
     }
 
     /// One of the peers that know more than this node, and what it knows; one that knows something of
-    /// all if there is one, of the own zone if there is one.
+    /// all if there is one, of the own zone if there is one. `by_hearsay` lets it be one that only another
+    /// told of.
     pub(super) fn newest(
         &self,
         zone: ZoneNumber,
+        by_hearsay: bool,
         behind: &impl Fn(Versions) -> bool,
         random: &mut impl Rng,
     ) -> Option<(SocketAddrV4, Versions)> {
         let ahead = self.records.iter();
-        let ahead = ahead.filter(|(_, record)| record.heard && behind(record.versions));
+        let ahead =
+            ahead.filter(|(_, record)| (record.heard || by_hearsay) && behind(record.versions));
         let complete = ahead
             .clone()
             .filter(|(_, record)| !record.versions.is_empty());
         choose_source(zone, complete, random).or_else(|| choose_source(zone, ahead, random))
     }
 
-    /// Forgets how much a peer claimed to know, until it speaks again.
-    pub(super) fn discredit(&mut self, address: SocketAddrV4) {
-        if let Some(record) = self.records.get_mut(&address) {
-            record.versions = Versions::default();
-        }
+    /// Forgets how much a peer claimed to know, until it speaks again. Returns whether only another one
+    /// had claimed it.
+    pub(super) fn discredit(&mut self, address: SocketAddrV4) -> bool {
+        let Some(record) = self.records.get_mut(&address) else {
+            return false;
+        };
+        let was_named = !record.heard && !record.versions.is_empty();
+        record.versions = Versions::default();
+        was_named
     }
 
     /// Makes room for a peer: one that was only suggested goes first, then one of the zone with the
--- a/crates/bellyoke-core/src/cookie/exchange/receivers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/receivers.rs
@@ -9,8 +9,10 @@
 use super::{Exchange, Heartbeat};
 use crate::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
 use crate::cookie::replica::Versions;
+use crate::time::Timestamp;
 use rand::RngExt;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 /// Nodes of each zone that tell another one what is new. That none of several zones tells one has a chance of
 /// one in four hundred (e to the minus six); then the next round does.
@@ -22,6 +24,10 @@
 /// A seed now and then joins parts of the cluster that have lost each other.
 const SEED_CHANCE: f64 = 0.1;
 
+/// A peer that was heard so lately is told of as one to fetch from: in a zone of a hundred these are
+/// some twenty, and few of them have died since.
+const SOURCE_AGE: Duration = Duration::from_secs(2);
+
 /// Peers that a push tells of: enough that its sender isn't taken for one that knows nobody.
 pub(super) const PUSHED_PEERS: usize = 2;
 
@@ -109,9 +115,35 @@
         Some(self.seeds[index])
     }
 
+    /// Tells a node that lacks everything of a kind from whom it can fetch instead of this one, which it
+    /// asked since it had no other address.
+    pub(super) fn name_sources(
+        &mut self,
+        now: Timestamp,
+        receiver: SocketAddrV4,
+        heartbeat: &mut Heartbeat,
+    ) {
+        let knows_of_late = |record: &PeerRecord| {
+            !record.versions.is_empty() && now.since(record.noted_at) < SOURCE_AGE
+        };
+        let count = Heartbeat::MAXIMUM_PEERS;
+        let sources = self
+            .peers
+            .suggestions_for(receiver, count, &mut self.random, knows_of_late);
+        if !sources.is_empty() {
+            heartbeat.peers = sources;
+            heartbeat.peers_know = true;
+        }
+    }
+
     /// Notes what a heartbeat tells of other nodes.
-    pub(super) fn note_suggestions(&mut self, now: crate::time::Timestamp, heartbeat: &Heartbeat) {
+    pub(super) fn note_suggestions(&mut self, now: Timestamp, heartbeat: &Heartbeat) {
         let zone = self.own_zone();
+        let known = if heartbeat.peers_know {
+            heartbeat.versions
+        } else {
+            Versions::default()
+        };
         for peer in &heartbeat.peers {
             if peer.address == self.own_address {
                 continue;
@@ -119,10 +151,10 @@
             if peer.place.zone == zone {
                 self.note_mention(peer.address);
             }
-            self.peers.suggest(now, zone, peer.address, peer.place);
+            self.peers.suggest(now, zone, peer, known);
         }
         for size in &heartbeat.zones {
-            let age = std::time::Duration::from_millis(u64::from(size.age_milliseconds));
+            let age = Duration::from_millis(u64::from(size.age_milliseconds));
             if size.zone != zone {
                 self.zone_sizes.note(size.zone, size.nodes, now.before(age));
             }
--- a/crates/bellyoke-core/tests/cookie/cluster.rs
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -23,6 +23,8 @@
     pub alive: bool,
     pub sent: usize,
     pub fetched: usize,
+    /// Bytes of the snapshots that it sent.
+    pub served: usize,
 }
 
 /// Where nodes stand.
@@ -118,6 +120,7 @@
             alive: true,
             sent: 0,
             fetched: 0,
+            served: 0,
         };
         self.nodes.insert(address(number), node);
     }
@@ -246,6 +249,7 @@
                 .unwrap()
                 .len();
             self.count("snapshot", from, to, length);
+            self.nodes.get_mut(&from).unwrap().served += length;
         }
         let node = self.nodes.get_mut(&to).unwrap();
         node.fetched += 1;
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -134,6 +134,7 @@
         let heartbeat = Heartbeat {
             versions: Versions::default(),
             leaving: false,
+            peers_know: false,
             confirmed_age_milliseconds: None,
             place: NodePlace::default(),
             claims: vec![WatcherClaim {
@@ -307,6 +308,7 @@
     let heartbeat = Heartbeat {
         versions: peer.replica().versions(),
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: None,
         place: NodePlace::default(),
         claims: Vec::new(),
@@ -346,6 +348,7 @@
             ..node.replica().versions()
         },
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: Some(age),
         place: NodePlace::default(),
         claims: Vec::new(),
@@ -407,6 +410,7 @@
             zones_as_of: Revision(1),
         },
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: None,
         place: NodePlace::default(),
         claims: Vec::new(),
@@ -468,6 +472,7 @@
         PeerDatagram::Heartbeat(Heartbeat {
             versions,
             leaving: false,
+            peers_know: false,
             confirmed_age_milliseconds: Some(age),
             place: NodePlace::default(),
             claims: Vec::new(),
@@ -511,6 +516,7 @@
     let heartbeat = Heartbeat {
         versions: peer.replica().versions(),
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: Some(3_000),
         place: NodePlace::default(),
         claims: vec![WatcherClaim {
@@ -610,6 +616,7 @@
             zones_as_of: Revision(1),
         },
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: None,
         place: NodePlace::default(),
         claims: Vec::new(),
@@ -647,6 +654,7 @@
             let heartbeat = Heartbeat {
                 versions: Versions::default(),
                 leaving: false,
+                peers_know: false,
                 confirmed_age_milliseconds: None,
                 place: NodePlace::default(),
                 claims: Vec::new(),
--- a/crates/bellyoke-core/tests/cookie/exchange_zones.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -102,6 +102,29 @@
     assert_eq!(cluster.knowing(50), 60);
 }
 
+/// As many join as there are, and know only the addresses of three seeds.
+#[test]
+fn seeds_do_not_serve_all_that_start() {
+    let mut cluster = watched_in(150, zones(3));
+    cluster.learn(1, 50);
+    cluster.run(3_000);
+    cluster.nodes.values_mut().for_each(|node| node.served = 0);
+    for number in 150..300 {
+        cluster.start(number);
+    }
+    let mut times = 0;
+    while cluster.knowing(50) < 300 {
+        cluster.run(TICK);
+        times += TICK;
+    }
+    let served: Vec<usize> = cluster.nodes.values().map(|node| node.served).collect();
+    let by_seeds = served[..3].iter().sum::<usize>();
+    let by_all = served.iter().sum::<usize>();
+    println!("{by_seeds} of {by_all} in {times} ms");
+    assert!(by_seeds * 5 < by_all, "{by_seeds} of {by_all} bytes");
+    assert!(times <= 1_000, "{times} ms");
+}
+
 /// The first of a zone to hear it is killed in the same moment; nobody was chosen to tell the zone instead.
 #[test]
 fn a_zone_whose_only_informed_node_dies_hears_from_others() {
@@ -220,8 +243,10 @@
     let number = (0..30).find(|number| address(*number) == reader).unwrap();
     cluster.node(number).coordinator.set_link_paced(true);
     cluster.run(600);
+    assert!(!cluster.with_duty(StoreDuty::Reader).contains(&reader));
+    cluster.run(2_400);
     assert_eq!(node(&mut cluster), 0, "it has given way");
-    cluster.run(8_000);
+    cluster.run(6_000);
     assert_eq!(cluster.with_duty(StoreDuty::Reader).len(), 1);
     assert_eq!(cluster.with_duty(StoreDuty::Backup).len(), WATCHERS - 1);
     assert!(!cluster.with_duty(StoreDuty::Backup).contains(&reader));
@@ -254,6 +279,7 @@
             zones_as_of: known,
         },
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: None,
         place: NodePlace {
             zone: ZoneNumber(zone),
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -29,6 +29,7 @@
             zones_as_of: Revision(u64::MAX),
         },
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: Some(750),
         place,
         claims: (0..3)
--- a/crates/bellyoke-core/tests/cookie/reachability.rs
+++ b/crates/bellyoke-core/tests/cookie/reachability.rs
@@ -240,6 +240,7 @@
     let heartbeat = Heartbeat {
         versions: Versions::default(),
         leaving: false,
+        peers_know: false,
         confirmed_age_milliseconds: None,
         place: NodePlace::default(),
         claims: Vec::new(),
