Place new flows in the node's own zone first, and spill by shares

Cause: placement knew no zone, so two of three flows crossed: their exchanges took up to four times the distance longer, and the bytes between zones are the dear ones.

`cookie/locality` ranks zones within one suitability (a cold or suspected own zone goes behind a warm other one). The own zone goes first; a share of openings goes elsewhere: for lack of slots (known from candidates), for load (own rate x usual time x nodes a zone, before it queues; the nodes' guess is corrected by what happens), and for queues or refusals seen in answers. A zone in which a third of the openings fails goes last. Five choices by rendezvous and the least busy of them stay as they are, within the zone; the last copy of an opening goes to another one. Distances are observed.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -130,6 +130,7 @@
     SettingsReloaded = 831, Info, "The settings were read again.";
     SettingsRejected = 832, Warn, "The settings have changed but cannot be used; the old ones stay in force.";
     MetricsUnavailable = 833, Warn, "The address of the metrics cannot be bound; the node runs without it.";
+    ZoneShareChanged = 855, Info, "Another share of a service's new flows goes to other zones than this node's; the line tells why.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,13 +1,17 @@
 //! The decision for each packet.
 
+use crate::cookie::answers::AnswerSample;
 use crate::cookie::cold::{ColdLimiter, ColdShare};
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
+use crate::cookie::locality::{
+    RequestTimer, ShareChange, ZoneCapacity, ZonePlacements, ZonePreference, imbalance,
+};
 use crate::cookie::packet::{Destination, FlowPacket, PacketRole};
-use crate::cookie::placement::{Suitability, choose_instance, choose_part, mix};
+use crate::cookie::placement::{Suitability, choose_by_zone, choose_part, mix};
 use crate::cookie::seen::{AcknowledgementTable, SeenTable, data_key};
-use crate::cookie::table::{Candidate, ForwardingTable};
+use crate::cookie::table::{Candidate, ForwardingTable, ServicePart};
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -114,6 +118,8 @@
     /// Instances that showed life while probes spoke against them: they only take no connections, so
     /// that probes tell nothing of them.
     proven: BTreeSet<Cookie>,
+    zones: ZonePreference,
+    requests: RequestTimer,
 }
 
 impl Forwarder {
@@ -130,6 +136,8 @@
             cold: ColdLimiter::new(None, 0),
             alive_at: SeenTable::new(INSTANCE_PLACES),
             proven: BTreeSet::new(),
+            zones: ZonePreference::new(""),
+            requests: RequestTimer::default(),
         }
     }
 
@@ -139,9 +147,17 @@
         Self { cold, ..self }
     }
 
+    /// The same, preferring the instances of the zone of this name for new flows; none if it is empty.
+    #[must_use]
+    pub fn with_zone(self, name: &str) -> Self {
+        let zones = ZonePreference::new(name);
+        Self { zones, ..self }
+    }
+
     /// How many nodes there are, at least.
     pub fn set_nodes(&mut self, nodes: f64) {
         self.cold.set_nodes(nodes);
+        self.zones.set_nodes(nodes);
     }
 
     /// What to do with a packet that was read at `now`; `backlog` tells whether it may have
@@ -164,6 +180,7 @@
     /// instances.
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
+        self.note_failures(now, table);
         self.cold.expire(now);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
@@ -171,6 +188,39 @@
         self.monitor.take_changes()
     }
 
+    /// Adapts which zones new flows go to, and returns the shares that changed notably.
+    pub fn review_zones(&mut self, now: Timestamp) -> Vec<ShareChange> {
+        self.zones.review(now)
+    }
+
+    /// What became of a request.
+    pub fn note_answer(&mut self, now: Timestamp, table: &ForwardingTable, sample: &AnswerSample) {
+        if let Some((_, zone)) = table.place_of(sample.cookie) {
+            self.zones.adopt(table);
+            self.zones.sampled(now, zone, sample);
+        }
+    }
+
+    /// Openings so far, by the zone that they went to.
+    #[must_use]
+    pub const fn zone_placements(&self) -> ZonePlacements {
+        self.zones.placements()
+    }
+
+    /// How much busier than the mean the busiest of a service's instances in the own zone is, by what this
+    /// node forwards, of the service where that is most. Without an own zone all instances count.
+    #[must_use]
+    pub fn imbalance(&self, now: Timestamp, table: &ForwardingTable) -> f32 {
+        let own = self.zones.own();
+        let services = table.candidates_by_service().map(|candidates| {
+            let in_zone = candidates
+                .iter()
+                .filter(|candidate| own.is_none_or(|own| candidate.zone == own));
+            imbalance(in_zone.map(|candidate| self.loads.load(now, candidate.cookie)))
+        });
+        services.fold(1.0, f32::max)
+    }
+
     /// Instances that fail the openings of this thread.
     pub fn failing_instances(&self) -> impl Iterator<Item = Cookie> {
         self.monitor.failing_instances()
@@ -226,8 +276,8 @@
         let Some(part) = choose_part(&route.parts, flow_hash) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
-        let candidates = table.candidates(part);
-        let Some((chosen, suitability)) = self.choose(now, candidates, flow_hash, attempt) else {
+        self.zones.adopt(table);
+        let Some((chosen, suitability)) = self.choose(now, table, part, flow_hash, attempt) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let destination = chosen.destination();
@@ -235,6 +285,7 @@
             self.cold.opened(now, chosen.id);
         }
         self.monitor.opening(now, flow_hash, destination.cookie);
+        self.note_failures(now, table);
         self.loads.count(now, destination.cookie, OPENING_WEIGHT);
         Decision::Place {
             destination,
@@ -247,14 +298,22 @@
     fn choose<'table>(
         &mut self,
         now: Timestamp,
-        candidates: &'table [Candidate],
+        table: &'table ForwardingTable,
+        part: &ServicePart,
         flow_hash: u64,
         attempt: u32,
     ) -> Option<(&'table Candidate, Suitability)> {
+        let candidates = table.candidates(part);
         // All instances of a service bear the same while they are cold.
         let cold_flows = candidates.first()?.cold_flows_per_minute;
         let share = self.cold.share(cold_flows);
-        let suitability = |candidate: &Candidate| self.suitability(now, candidate, share);
+        let mut capacity = ZoneCapacity::default();
+        let suitability = |candidate: &Candidate| {
+            let suitability = self.suitability(now, candidate, share)?;
+            capacity.add(candidate, suitability, self.zones.own());
+            Some(suitability)
+        };
+        let ranks = self.zones.ranks(part.service, flow_hash);
         let load = |candidate: &Candidate| {
             // A dead instance is idle too, but not therefore to be preferred.
             if self.monitor.is_doubted(candidate.cookie) {
@@ -263,8 +322,11 @@
                 self.loads.load(now, candidate.cookie)
             }
         };
-        let chosen = choose_instance(candidates, flow_hash, attempt, suitability, load)?;
-        Some((chosen, suitability(chosen)?))
+        let zone_rank = |candidate: &Candidate| ranks.of(candidate.zone);
+        let chosen = choose_by_zone(candidates, flow_hash, attempt, suitability, zone_rank, load)?;
+        let suitability = self.suitability(now, chosen, share)?;
+        self.zones.placed(now, part.service, chosen.zone, capacity);
+        Some((chosen, suitability))
     }
 
     /// How willing a candidate is to take a flow at `now`; none if it must not get one. `share` is this
@@ -317,12 +379,36 @@
         self.unreachable.contains(&cookie) && !self.proven.contains(&cookie)
     }
 
-    /// Notes that a flow goes on, if this packet shows it.
-    fn note_life(&mut self, now: Timestamp, packet: &FlowPacket, cookie: Cookie) {
+    /// Notes that a flow goes on, if this packet shows it. Returns whether it does.
+    fn note_life(&mut self, now: Timestamp, packet: &FlowPacket, cookie: Cookie) -> bool {
         let flow_hash = packet.flow.hash();
-        if self.acknowledged.advances(flow_hash, packet.acknowledged) {
+        let advances = self.acknowledged.advances(flow_hash, packet.acknowledged);
+        if advances {
             self.lives(now, cookie);
         }
+        advances
+    }
+
+    /// Notes how long a flow took to open.
+    fn note_opened(
+        &mut self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        cookie: Cookie,
+        after: Duration,
+    ) {
+        if let Some((_, zone)) = table.place_of(cookie) {
+            self.zones.adopt(table);
+            self.zones.opened(now, zone, after);
+        }
+    }
+
+    fn note_failures(&mut self, now: Timestamp, table: &ForwardingTable) {
+        for cookie in self.monitor.take_failures() {
+            if let Some((_, zone)) = table.place_of(cookie) {
+                self.zones.failed(now, zone);
+            }
+        }
     }
 
     fn lives(&mut self, now: Timestamp, cookie: Cookie) {
@@ -348,14 +434,18 @@
         if packet.role == PacketRole::Later && table.is_superseded(cookie) {
             return Decision::Reset(ResetReason::Superseded);
         }
-        self.note_life(now, packet, cookie);
+        let advances = self.note_life(now, packet, cookie);
         if packet.role == PacketRole::Later && self.is_unanswered(now, packet, cookie) {
             return Decision::Reset(ResetReason::Unreachable);
         }
         self.loads.count(now, cookie, PACKET_WEIGHT);
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
-        if opened_after.is_some() {
+        if let Some(after) = opened_after {
             self.lives(now, cookie);
+            self.note_opened(now, table, cookie, after);
+        }
+        if let Some(sample) = self.requests.sample(now, table, packet, advances) {
+            self.note_answer(now, table, &sample);
         }
         Decision::Follow {
             destination,
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! Like the rest of the crate nothing here has a socket, clock or thread:
 //!
-//! * one packet: [`packet`] and [`forwarder`], with [`flows`] seen of late and the [`answers`] to their requests, [`placement`] of new flows, the limit of [`cold`] instances,
+//! * one packet: [`packet`] and [`forwarder`], with [`flows`] seen of late and the [`answers`] to their requests, [`placement`] of new flows, [`locality`] that prefers the own zone, the limit of [`cold`] instances,
 //!   [`load`] and [`health`] of
 //!   instances from the progress of openings, [`reachability`] of those in question by probes;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
@@ -31,6 +31,7 @@
 pub mod instance;
 pub mod link;
 pub mod load;
+pub mod locality;
 pub mod packet;
 pub mod placement;
 pub mod reachability;
--- a/crates/bellyoke-core/src/cookie/placement.rs
+++ b/crates/bellyoke-core/src/cookie/placement.rs
@@ -2,9 +2,12 @@
 //!
 //! The flow's hash picks the service by weight, and ranks the instances by rendezvous hashing. An
 //! opening goes to the least busy of the first few; its copies go to the next two, so that they
-//! reach another one if the first choice is dead, whatever the loads are by then.
+//! reach another one if the first choice is dead, whatever the loads are by then. Among instances that are
+//! alike suitable those of one zone may go first ([`crate::cookie::locality`]); the last copy then reaches
+//! another zone.
 
 use crate::cookie::instance::InstanceId;
+use crate::cookie::locality::ZoneRank;
 use crate::cookie::table::{Candidate, ServicePart};
 
 /// Copies of an opening that are told apart; later ones go where the last goes.
@@ -50,48 +53,80 @@
     None
 }
 
-/// The candidate for copy `attempt` of an opening; none without candidates.
+/// The candidate for copy `attempt` of an opening, if all zones are alike; none without candidates.
 ///
 /// `suitability` says how willing each candidate is; those that it refuses are left out. `load`
 /// says how busy one is.
 pub fn choose_instance(
+    candidates: &[Candidate],
+    flow_hash: u64,
+    attempt: u32,
+    suitability: impl FnMut(&Candidate) -> Option<Suitability>,
+    load: impl Fn(&Candidate) -> f32,
+) -> Option<&Candidate> {
+    let alike = |_: &Candidate| ZoneRank::Second;
+    choose_by_zone(candidates, flow_hash, attempt, suitability, alike, load)
+}
+
+/// The same, with those of alike suitability first that stand in the zone that `zone_rank` prefers.
+pub fn choose_by_zone(
     candidates: &[Candidate],
     flow_hash: u64,
     attempt: u32,
     mut suitability: impl FnMut(&Candidate) -> Option<Suitability>,
+    zone_rank: impl Fn(&Candidate) -> ZoneRank,
     load: impl Fn(&Candidate) -> f32,
 ) -> Option<&Candidate> {
     let mut ranked: [Option<Ranked<'_>>; RANKS] = [None; RANKS];
+    let mut fallback: Option<Ranked<'_>> = None;
     for candidate in candidates {
         let Some(suitability) = suitability(candidate) else {
             continue;
         };
-        let score = score(flow_hash, candidate.id);
-        insert(
-            &mut ranked,
-            Ranked {
-                suitability,
-                score,
-                candidate,
-            },
-        );
+        let new = Ranked {
+            suitability,
+            zone_rank: zone_rank(candidate),
+            score: score(flow_hash, candidate.id),
+            candidate,
+        };
+        let is_fallback = new.zone_rank == ZoneRank::Second;
+        if is_fallback && fallback.is_none_or(|held| new.exceeds(&held)) {
+            fallback = Some(new);
+        }
+        insert(&mut ranked, new);
     }
     let best = ranked[0]?;
-    let equals = ranked.iter().flatten();
-    let equals = equals.filter(|other| other.suitability == best.suitability);
-    let choices = equals.count().saturating_sub(COPIES).clamp(1, CHOICES);
+    let choices = choices(&ranked, &best);
     let chosen = match copies_before(attempt) {
         0 => least_busy(&ranked[..choices], load),
-        copy => ranked[..choices + copy]
-            .iter()
-            .rev()
-            .flatten()
-            .next()
-            .copied(),
+        copy => {
+            let next = ranked[..choices + copy].iter().rev().flatten().next();
+            let next = next.copied();
+            let is_last = copy == COPIES;
+            let other_zone = fallback.filter(|held| held.suitability == best.suitability);
+            let stays = next.is_some_and(|next| next.zone_rank == ZoneRank::First);
+            if is_last && stays {
+                other_zone.or(next)
+            } else {
+                next
+            }
+        }
     };
     chosen.map(|ranked| ranked.candidate)
 }
 
+/// How many of the first are alike: an opening goes to the least busy of them. Enough are left for its
+/// copies, unless there are too few.
+fn choices(ranked: &[Option<Ranked<'_>>; RANKS], best: &Ranked<'_>) -> usize {
+    let suitable = ranked.iter().flatten();
+    let suitable = suitable.filter(|other| other.suitability == best.suitability);
+    let in_zone = suitable
+        .clone()
+        .filter(|other| other.zone_rank == best.zone_rank);
+    let beside_copies = suitable.count().saturating_sub(COPIES);
+    in_zone.count().min(beside_copies).clamp(1, CHOICES)
+}
+
 /// Later copies go where the last goes.
 fn copies_before(attempt: u32) -> usize {
     usize::try_from(attempt).unwrap_or(COPIES).min(COPIES)
@@ -109,13 +144,15 @@
 #[derive(Clone, Copy)]
 struct Ranked<'table> {
     suitability: Suitability,
+    zone_rank: ZoneRank,
     score: u64,
     candidate: &'table Candidate,
 }
 
 impl Ranked<'_> {
     fn exceeds(&self, other: &Self) -> bool {
-        (self.suitability, self.score) > (other.suitability, other.score)
+        let key = |ranked: &Self| (ranked.suitability, ranked.zone_rank, ranked.score);
+        key(self) > key(other)
     }
 }
 
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -83,8 +83,8 @@
     services: Vec<String>,
     /// By zone number, for each zone that an instance stands in.
     zones: Vec<String>,
-    /// The services of the instances that belong to one of them, sorted by cookie.
-    service_of: Vec<(Cookie, ServiceNumber)>,
+    /// The services of the instances that belong to one of them, and their zones, sorted by cookie.
+    service_of: Vec<(Cookie, ServiceNumber, ZoneNumber)>,
     /// Cookies of instances whose address another one has taken over, ascending.
     superseded: Vec<Cookie>,
     configuration_version: u64,
@@ -124,7 +124,7 @@
         Self {
             routes,
             candidates,
-            service_of: services.of_instances(directory),
+            service_of: services.of_instances(directory, &zone_names),
             services: services.names(),
             zones: zone_names,
             destinations,
@@ -152,13 +152,26 @@
         usize::try_from(part.service.0).map_or(&[], |number| &self.candidates[number])
     }
 
+    /// The instances that may take new flows, service by service.
+    pub fn candidates_by_service(&self) -> impl Iterator<Item = &[Candidate]> {
+        self.candidates.iter().map(Vec::as_slice)
+    }
+
     /// The service of an instance; none if no route names it, or the instance isn't remembered.
     #[must_use]
     pub fn service_of(&self, cookie: Cookie) -> Option<ServiceNumber> {
+        self.place_of(cookie).map(|(service, _)| service)
+    }
+
+    /// The service and the zone of an instance; none if no route names the service, or the instance isn't
+    /// remembered.
+    #[must_use]
+    pub fn place_of(&self, cookie: Cookie) -> Option<(ServiceNumber, ZoneNumber)> {
         let found = self
             .service_of
-            .binary_search_by_key(&cookie, |(cookie, _)| *cookie);
-        found.ok().map(|index| self.service_of[index].1)
+            .binary_search_by_key(&cookie, |(cookie, ..)| *cookie);
+        let (_, service, zone) = self.service_of[found.ok()?];
+        Some((service, zone))
     }
 
     /// Names of the services that routes name, by their numbers.
@@ -300,15 +313,20 @@
             .collect()
     }
 
-    /// The services of all instances that a route's service has, by cookie.
-    fn of_instances(&self, directory: &Directory) -> Vec<(Cookie, ServiceNumber)> {
+    /// The services and zones of all instances that a route's service has, by cookie.
+    fn of_instances(
+        &self,
+        directory: &Directory,
+        zone_names: &[String],
+    ) -> Vec<(Cookie, ServiceNumber, ZoneNumber)> {
         let instances = directory.instances().filter_map(|known| {
             let service = self.indexes.get(&known.record.service[..])?;
-            Some((Cookie::of(known.record.id), *service))
+            let zone = zone_number(zone_names, &known.record.zone);
+            Some((Cookie::of(known.record.id), *service, zone))
         });
         let mut services: Vec<_> = instances.collect();
-        services.sort_unstable_by_key(|(cookie, _)| *cookie);
-        services.dedup_by_key(|(cookie, _)| *cookie);
+        services.sort_unstable_by_key(|(cookie, ..)| *cookie);
+        services.dedup_by_key(|(cookie, ..)| *cookie);
         services
     }
 
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -9,6 +9,7 @@
 mod forwarder;
 mod health;
 mod link;
+mod locality;
 mod message;
 mod placement;
 mod reachability;
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -2,12 +2,14 @@
 
 use super::sender::SendOutcome;
 use bellyoke_core::cookie::forwarder::{Decision, DropReason, RefusalReason, ResetReason};
+use bellyoke_core::cookie::locality::ZonePlacements;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// What was done with a packet.
@@ -132,6 +134,20 @@
     counters: [Counter; PacketOutcome::ALL.len()],
     opening_seconds: Histogram,
     link: LinkGauges,
+    zones: ZoneGauges,
+}
+
+/// Where openings went, and how evenly.
+#[derive(Clone, Debug, Default)]
+struct ZoneGauges {
+    own: Gauge,
+    other: Gauge,
+    imbalance: Gauge<f64, AtomicU64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ZoneLabel {
+    zone: &'static str,
 }
 
 /// What the sender believes of the node's own link.
@@ -141,6 +157,29 @@
     held: Gauge,
 }
 
+impl ZoneGauges {
+    fn register(registry: &mut Registry) -> Self {
+        let family = Family::<ZoneLabel, Gauge>::default();
+        registry.register(
+            "openings_by_zone",
+            "Openings sent to the node's own zone and to others since its start",
+            family.clone(),
+        );
+        let imbalance = Gauge::<f64, AtomicU64>::default();
+        registry.register(
+            "instance_imbalance",
+            "Load of the busiest instance in that of the mean one, by this node's own packets",
+            imbalance.clone(),
+        );
+        let of = |zone| family.get_or_create(&ZoneLabel { zone }).clone();
+        Self {
+            own: of("own"),
+            other: of("other"),
+            imbalance,
+        }
+    }
+}
+
 impl PacketCounters {
     /// New counters, which `registry` shows.
     #[must_use]
@@ -174,9 +213,22 @@
             counters,
             opening_seconds,
             link,
+            zones: ZoneGauges::register(registry),
         }
     }
 
+    /// Openings so far by zone, and how much busier than the mean the busiest instance is.
+    pub fn show_zones(&self, placements: ZonePlacements) {
+        let gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.zones.own.set(gauge(placements.own));
+        self.zones.other.set(gauge(placements.other));
+    }
+
+    /// How much busier than the mean the busiest instance of a service is, of the service where that is most.
+    pub fn show_imbalance(&self, imbalance: f32) {
+        self.zones.imbalance.set(f64::from(imbalance));
+    }
+
     /// What the sender believes of the link; no rate while nothing is paced.
     pub fn show_link(&self, bytes_per_second: Option<f32>, held: usize) {
         let rate = bytes_per_second.unwrap_or_default();
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -4,9 +4,8 @@
 use super::sender::{LinkSender, SendOutcome};
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
-use bellyoke_core::cookie::cold::ColdLimiter;
 use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
-use bellyoke_core::cookie::health::{HealthChange, HealthSettings};
+use bellyoke_core::cookie::health::HealthChange;
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::packet::{Destination, FlowPacket, PacketCodec};
 use bellyoke_core::cookie::placement::Suitability;
@@ -36,6 +35,9 @@
 /// Time between two reviews of the openings under way.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two looks at how evenly instances are loaded, which reads the load of each.
+const IMBALANCE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Lines of one event in one second.
 const LOG_ALLOWANCE: u32 = 200;
 
@@ -49,11 +51,11 @@
     socket: UdpSocket,
     codec: Codec,
     shared: Arc<Shared>,
-    cold: ColdLimiter,
+    forwarder: Forwarder,
 ) -> io::Result<JoinHandle<()>> {
     let builder = std::thread::Builder::new();
     let builder = builder.name(name).stack_size(STACK_LENGTH);
-    builder.spawn(move || TrafficThread::new(socket, codec, shared, cold).run())
+    builder.spawn(move || TrafficThread::new(socket, codec, shared, forwarder).run())
 }
 
 struct TrafficThread<Codec> {
@@ -64,22 +66,24 @@
     guard: BacklogGuard,
     limiter: LogLimiter,
     next_review: Timestamp,
+    next_imbalance: Timestamp,
     was_paced: bool,
     /// The port that clients are answered at.
     client_port: u16,
 }
 
 impl<Codec: PacketCodec> TrafficThread<Codec> {
-    fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>, cold: ColdLimiter) -> Self {
+    fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>, forwarder: Forwarder) -> Self {
         let client_port = socket.local_addr().map_or(0, |address| address.port());
         Self {
             sender: LinkSender::new(socket),
             codec,
             shared,
-            forwarder: Forwarder::new(HealthSettings::default()).with_cold_limiter(cold),
+            forwarder,
             guard: BacklogGuard::default(),
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             next_review: Timestamp::ZERO,
+            next_imbalance: Timestamp::ZERO,
             was_paced: false,
             client_port,
         }
@@ -237,6 +241,7 @@
         let suspected = self.shared.peer_suspicions.load();
         self.forwarder.set_peer_suspicions(&suspected);
         self.log_health_changes(now, table);
+        self.show_zones(now, table);
         self.exchange_doubts(now);
         let failing: Vec<Cookie> = self.forwarder.failing_instances().collect();
         if **self.shared.failing.load() != failing {
@@ -283,6 +288,37 @@
         }
     }
 
+    /// Adapts the shares of openings that go to other zones, and shows what came of them.
+    fn show_zones(&mut self, now: Timestamp, table: &ForwardingTable) {
+        for change in self.forwarder.review_zones(now) {
+            let service = table.services().get(change.service.0 as usize);
+            let milliseconds =
+                |delay: Option<Duration>| delay.map_or(-1, |delay| delay.as_millis() as i64);
+            self.limiter.log(
+                EventCode::ZoneShareChanged,
+                now,
+                format_args!(
+                    "service={} share={:.2} for_capacity={:.2} for_load={:.2} for_queue={:.2} own_ms={} other_ms={} crossing_ms={}",
+                    service.map_or("", String::as_str),
+                    change.shares.largest(),
+                    change.shares.for_capacity,
+                    change.shares.for_load,
+                    change.shares.for_queue,
+                    milliseconds(change.own_delay),
+                    milliseconds(change.other_delay),
+                    milliseconds(change.crossing),
+                ),
+            );
+        }
+        let placements = self.forwarder.zone_placements();
+        self.shared.packets.show_zones(placements);
+        if now >= self.next_imbalance {
+            self.next_imbalance = now.after(IMBALANCE_INTERVAL);
+            let imbalance = self.forwarder.imbalance(now, table);
+            self.shared.packets.show_imbalance(imbalance);
+        }
+    }
+
     fn log_health_changes(&mut self, now: Timestamp, table: &ForwardingTable) {
         for change in self.forwarder.review(now, table) {
             match change {
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -55,6 +55,8 @@
         "Factor to the flows that cold instances are said to bear, up to which all nodes together may open flows there. Without it they have no limit, whatever `slack` says."),
     key("cold", "slack", "flows/s", integer(0, 1_000_000), Literal("0"),
         "Flows a second that cold instances may get beyond that."),
+    key("placement", "own_zone_first", "", ValueKind::Switch, Literal("true"),
+        "Whether new flows go to instances in the node's own zone as long as these have room. Otherwise all zones are alike."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -83,6 +85,8 @@
     pub timing: TimingSettings,
     /// What cold instances may get.
     pub cold: ColdSettings,
+    /// Where new flows go.
+    pub placement: PlacementSettings,
     /// The log.
     pub log: LogSettings,
 }
@@ -154,6 +158,14 @@
     pub zone_drained_within_ms: Option<u64>,
 }
 
+/// Where new flows go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSettings {
+    /// Whether the node's own zone goes first.
+    pub own_zone_first: bool,
+}
+
 /// What cold instances may get.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -211,6 +223,16 @@
 }
 
 impl Settings {
+    /// The zone whose instances go first for new flows; empty if all zones are alike.
+    #[must_use]
+    pub fn preferred_zone(&self) -> &str {
+        if self.placement.own_zone_first {
+            &self.node.zone
+        } else {
+            ""
+        }
+    }
+
     /// Where peers are looked for: the hosts of the seeds, at this node's peer port.
     #[must_use]
     pub fn peer_seeds(&self) -> Vec<SocketAddrV4> {
--- a/crates/bellyoke-node/tests/settings.rs
+++ b/crates/bellyoke-node/tests/settings.rs
@@ -175,3 +175,11 @@
         assert_eq!(found[0].1, "cold.overshoot", "{wrong}");
     }
 }
+
+#[test]
+fn the_own_zone_is_preferred_unless_that_is_switched_off() {
+    let settings = parse_settings(GOOD, &[]).unwrap();
+    assert_eq!(settings.preferred_zone(), "cork");
+    let off = format!("{GOOD}[placement]\nown_zone_first = false\n");
+    assert_eq!(parse_settings(&off, &[]).unwrap().preferred_zone(), "");
+}
