--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,17 +1,20 @@
 //! The decision for each packet.
 
-use crate::cookie::answers::{AnswerMonitor, AnswerQuality, JudgedSample};
+use crate::cookie::answers::{AnswerMonitor, AnswerQuality, AnswerSample, JudgedSample};
 use crate::cookie::cold::{ColdLimiter, ColdShare};
 use crate::cookie::ends::{FlowEnd, FlowEnds};
 use crate::cookie::flows::FlowTable;
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
 use crate::cookie::load::{LoadMeter, OPENING_WEIGHT, PACKET_WEIGHT};
+use crate::cookie::locality::{
+    ShareChange, ZoneCapacity, ZonePlacements, ZonePreference, imbalance,
+};
 use crate::cookie::outliers::{InstanceTally, TallyBook};
 use crate::cookie::packet::{Destination, FlowPacket, PacketRole};
-use crate::cookie::placement::{Suitability, choose_instance, choose_part, mix};
+use crate::cookie::placement::{Suitability, choose_by_zone, choose_part, mix};
 use crate::cookie::seen::{SeenTable, data_key};
-use crate::cookie::table::{Candidate, ForwardingTable};
+use crate::cookie::table::{Candidate, ForwardingTable, ServicePart};
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -146,6 +149,7 @@
     tallies: TallyBook,
     /// Instances whose answers fail, unlike those of others.
     outliers: BTreeSet<Cookie>,
+    zones: ZonePreference,
 }
 
 impl Forwarder {
@@ -169,6 +173,7 @@
             answers: AnswerMonitor::default(),
             tallies: TallyBook::default(),
             outliers: BTreeSet::new(),
+            zones: ZonePreference::new(""),
         }
     }
 
@@ -189,9 +194,17 @@
         }
     }
 
+    /// The same, preferring the instances of the zone of this name for new flows; none if it is empty.
+    #[must_use]
+    pub fn with_zone(self, name: &str) -> Self {
+        let zones = ZonePreference::new(name);
+        Self { zones, ..self }
+    }
+
     /// How many nodes there are, at least.
     pub fn set_nodes(&mut self, nodes: f64) {
         self.cold.set_nodes(nodes);
+        self.zones.set_nodes(nodes);
     }
 
     /// What to do with a packet that was read at `now`; `backlog` tells whether it may have
@@ -215,18 +228,44 @@
     /// instances.
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
+        self.note_failures(now, table);
         self.cold.expire(now);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
         let judged = self.answers.review(now, table, &mut self.flows);
         for judged in judged {
-            self.note_answer(now, &judged);
+            self.note_answer(now, table, &judged);
         }
         self.proven.retain(|cookie| is_known(*cookie));
         self.review_ends(now, table);
         self.monitor.take_changes()
     }
 
+    /// Adapts which zones new flows go to, and returns the shares that changed notably.
+    pub fn review_zones(&mut self, now: Timestamp) -> Vec<ShareChange> {
+        self.zones.review(now)
+    }
+
+    /// Openings so far, by the zone that they went to.
+    #[must_use]
+    pub const fn zone_placements(&self) -> ZonePlacements {
+        self.zones.placements()
+    }
+
+    /// How much busier than the mean the busiest of a service's instances in the own zone is, by what this
+    /// node forwards, of the service where that is most. Without an own zone all instances count.
+    #[must_use]
+    pub fn imbalance(&self, now: Timestamp, table: &ForwardingTable) -> f32 {
+        let own = self.zones.own();
+        let services = table.candidates_by_service().map(|candidates| {
+            let in_zone = candidates
+                .iter()
+                .filter(|candidate| own.is_none_or(|own| candidate.zone == own));
+            imbalance(in_zone.map(|candidate| self.loads.load(now, candidate.cookie)))
+        });
+        services.fold(1.0, f32::max)
+    }
+
     /// Instances that fail the openings of this thread.
     pub fn failing_instances(&self) -> impl Iterator<Item = Cookie> {
         self.monitor.failing_instances()
@@ -341,8 +380,17 @@
         self.tallies.take()
     }
 
-    fn note_answer(&mut self, now: Timestamp, judged: &JudgedSample) {
+    /// What became of a request, for the choice between zones.
+    pub fn note_sample(&mut self, now: Timestamp, table: &ForwardingTable, sample: &AnswerSample) {
+        if let Some((_, zone)) = table.place_of(sample.cookie) {
+            self.zones.adopt(table);
+            self.zones.sampled(now, zone, sample);
+        }
+    }
+
+    fn note_answer(&mut self, now: Timestamp, table: &ForwardingTable, judged: &JudgedSample) {
         self.tallies.note(judged);
+        self.note_sample(now, table, &judged.sample);
         if judged.quality == AnswerQuality::Failed {
             self.loads.count(now, judged.sample.cookie, FAILURE_WEIGHT);
         }
@@ -371,9 +419,9 @@
         let Some(part) = choose_part(&route.parts, flow_hash) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
-        let candidates = table.candidates(part);
+        self.zones.adopt(table);
         let tries = route.terms.kind.may_repeat() && tries_outliers(flow_hash);
-        let chosen = self.choose(now, candidates, flow_hash, attempt, tries);
+        let chosen = self.choose(now, table, part, flow_hash, attempt, tries);
         let Some((chosen, suitability)) = chosen else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
@@ -382,6 +430,7 @@
             self.cold.opened(now, chosen.id);
         }
         self.monitor.opening(now, flow_hash, destination.cookie);
+        self.note_failures(now, table);
         self.loads.count(now, destination.cookie, OPENING_WEIGHT);
         Decision::Place {
             destination,
@@ -394,16 +443,20 @@
     fn choose<'table>(
         &mut self,
         now: Timestamp,
-        candidates: &'table [Candidate],
+        table: &'table ForwardingTable,
+        part: &ServicePart,
         flow_hash: u64,
         attempt: u32,
         tries_outliers: bool,
     ) -> Option<(&'table Candidate, Suitability)> {
+        let candidates = table.candidates(part);
         // All instances of a service bear the same while they are cold.
         let cold_flows = candidates.first()?.cold_flows_per_minute;
         let share = self.cold.share(cold_flows);
+        let mut capacity = ZoneCapacity::default();
         let suitability = |candidate: &Candidate| {
             let suitability = self.suitability(now, candidate, share)?;
+            capacity.add(candidate, suitability, self.zones.own());
             let is_tried = tries_outliers && suitability == Suitability::Outlier;
             Some(if is_tried {
                 Suitability::Full
@@ -411,6 +464,7 @@
                 suitability
             })
         };
+        let ranks = self.zones.ranks(part.service, flow_hash);
         let load = |candidate: &Candidate| {
             // A dead instance is idle too, but not therefore to be preferred.
             if self.monitor.is_doubted(candidate.cookie) {
@@ -419,8 +473,11 @@
                 self.loads.load(now, candidate.cookie)
             }
         };
-        let chosen = choose_instance(candidates, flow_hash, attempt, suitability, load)?;
-        Some((chosen, suitability(chosen)?))
+        let zone_rank = |candidate: &Candidate| ranks.of(candidate.zone);
+        let chosen = choose_by_zone(candidates, flow_hash, attempt, suitability, zone_rank, load)?;
+        let suitability = self.suitability(now, chosen, share)?;
+        self.zones.placed(now, part.service, chosen.zone, capacity);
+        Some((chosen, suitability))
     }
 
     /// How willing a candidate is to take a flow at `now`; none if it must not get one. `share` is this
@@ -488,6 +545,28 @@
         }
     }
 
+    /// Notes how long a flow took to open.
+    fn note_opened(
+        &mut self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        cookie: Cookie,
+        after: Duration,
+    ) {
+        if let Some((_, zone)) = table.place_of(cookie) {
+            self.zones.adopt(table);
+            self.zones.opened(now, zone, after);
+        }
+    }
+
+    fn note_failures(&mut self, now: Timestamp, table: &ForwardingTable) {
+        for cookie in self.monitor.take_failures() {
+            if let Some((_, zone)) = table.place_of(cookie) {
+                self.zones.failed(now, zone);
+            }
+        }
+    }
+
     /// Remembers the flow, unless this packet ends it, and sees what became of its requests.
     fn note_flow(
         &mut self,
@@ -500,7 +579,7 @@
         let record = self.flows.note(now, flow_hash, packet, cookie);
         let judged = self.answers.observe(now, table, flow_hash, packet, record);
         if let Some(judged) = judged {
-            self.note_answer(now, &judged);
+            self.note_answer(now, table, &judged);
         }
         if packet.closes || packet.role == PacketRole::Abort {
             self.flows.remove(flow_hash);
@@ -551,6 +630,7 @@
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
         if let Some(after) = opened_after {
             self.lives(now.before(after), cookie);
+            self.note_opened(now, table, cookie, after);
         }
         if packet.role == PacketRole::Later
             && (self.is_unanswered(now, packet, cookie) || self.asks_in_vain(now, packet, cookie))
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -13,6 +13,7 @@
 mod forwarder;
 mod health;
 mod link;
+mod locality;
 mod message;
 mod outlier_placement;
 mod outliers;
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -61,10 +61,12 @@
         "Flows a second that cold instances may get beyond that."),
     key("flows", "capacity", "", integer(2, 1_048_576), Literal("8192"),
         "Open flows that a node remembers, about 100 bytes each. Beyond them those are forgotten first that sent nothing for longest; they end by their first packet, not while they rest."),
-    key("flows", "end_resting", "", ValueKind::Choice(&["on", "off"]), Literal("\"on\""),
+    key("flows", "end_resting", "", ValueKind::Switch, Literal("true"),
         "Whether resting flows of an instance that has ended are reset, before their clients send anything."),
     key("outliers", "largest_share", "", number(0, 1), Literal("0.4"),
         "Largest part of a service's instances to which others are preferred since their answers fail or are late. With zero nodes don't report answers, and none is set aside."),
+    key("placement", "own_zone_first", "", ValueKind::Switch, Literal("true"),
+        "Whether new flows go to instances in the node's own zone as long as these have room. Otherwise all zones are alike."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -99,6 +101,8 @@
     pub flows: FlowSettings,
     /// Instances whose answers fail.
     pub outliers: OutlierShare,
+    /// Where new flows go.
+    pub placement: PlacementSettings,
     /// The log.
     pub log: LogSettings,
 }
@@ -190,6 +194,14 @@
     pub zone_drained_within_ms: Option<u64>,
 }
 
+/// Where new flows go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSettings {
+    /// Whether the node's own zone goes first.
+    pub own_zone_first: bool,
+}
+
 /// What cold instances may get.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -207,17 +219,7 @@
     /// Most of them.
     pub capacity: usize,
     /// Whether resting flows of instances that have ended are reset.
-    pub end_resting: FlowSwitch,
-}
-
-/// Whether a mechanism is on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum FlowSwitch {
-    /// It is.
-    On,
-    /// It isn't.
-    Off,
+    pub end_resting: bool,
 }
 
 /// Instances whose answers fail.
@@ -295,6 +297,16 @@
         }
     }
 
+    /// The zone whose instances go first for new flows; empty if all zones are alike.
+    #[must_use]
+    pub fn preferred_zone(&self) -> &str {
+        if self.placement.own_zone_first {
+            &self.node.zone
+        } else {
+            ""
+        }
+    }
+
     /// Where peers are looked for: the hosts of the seeds, at this node's peer port.
     #[must_use]
     pub fn peer_seeds(&self) -> Vec<SocketAddrV4> {
