Leave a lost zone after three overdue openings, and don't guess how many nodes there are

Now the peers that it hears of count; that errs to staying. * One request whose packet was lost (200 to 400 ms) made the mean look like a queue. A request counts five usual times at most. Now three openings in a row that are overdue by the zone's own usual time are enough, and the first copy of an opening reaches another zone, not the last.

--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -157,7 +157,11 @@
     /// How many nodes there are, at least.
     pub fn set_nodes(&mut self, nodes: f64) {
         self.cold.set_nodes(nodes);
-        self.zones.set_nodes(nodes);
+    }
+
+    /// How many other nodes this one hears of.
+    pub fn set_peers(&mut self, peers: u64) {
+        self.zones.set_peers(peers);
     }
 
     /// What to do with a packet that was read at `now`; `backlog` tells whether it may have
@@ -180,7 +184,6 @@
     /// instances.
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
-        self.note_failures(now, table);
         self.cold.expire(now);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
@@ -257,6 +260,7 @@
     /// The process stood still: openings under way prove nothing.
     pub fn stalled(&mut self) {
         self.monitor.forget_pending();
+        self.zones.stalled();
     }
 
     fn open(
@@ -277,6 +281,7 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         self.zones.adopt(table);
+        self.zones.review_outcomes(now);
         let Some((chosen, suitability)) = self.choose(now, table, part, flow_hash, attempt) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
@@ -285,7 +290,6 @@
             self.cold.opened(now, chosen.id);
         }
         self.monitor.opening(now, flow_hash, destination.cookie);
-        self.note_failures(now, table);
         self.loads.count(now, destination.cookie, OPENING_WEIGHT);
         Decision::Place {
             destination,
@@ -325,7 +329,8 @@
         let zone_rank = |candidate: &Candidate| ranks.of(candidate.zone);
         let chosen = choose_by_zone(candidates, flow_hash, attempt, suitability, zone_rank, load)?;
         let suitability = self.suitability(now, chosen, share)?;
-        self.zones.placed(now, part.service, chosen.zone, capacity);
+        self.zones
+            .placed(now, part.service, flow_hash, chosen.zone, capacity);
         Some((chosen, suitability))
     }
 
@@ -394,20 +399,13 @@
         &mut self,
         now: Timestamp,
         table: &ForwardingTable,
+        flow_hash: u64,
         cookie: Cookie,
         after: Duration,
     ) {
         if let Some((_, zone)) = table.place_of(cookie) {
             self.zones.adopt(table);
-            self.zones.opened(now, zone, after);
-        }
-    }
-
-    fn note_failures(&mut self, now: Timestamp, table: &ForwardingTable) {
-        for cookie in self.monitor.take_failures() {
-            if let Some((_, zone)) = table.place_of(cookie) {
-                self.zones.failed(now, zone);
-            }
+            self.zones.opened(now, flow_hash, zone, after);
         }
     }
 
@@ -442,7 +440,7 @@
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
         if let Some(after) = opened_after {
             self.lives(now, cookie);
-            self.note_opened(now, table, cookie, after);
+            self.note_opened(now, table, packet.flow.hash(), cookie, after);
         }
         if let Some(sample) = self.requests.sample(now, table, packet, advances) {
             self.note_answer(now, table, &sample);
--- a/crates/bellyoke-core/src/cookie/health.rs
+++ b/crates/bellyoke-core/src/cookie/health.rs
@@ -90,8 +90,6 @@
     changes: Vec<HealthChange>,
     /// Instances whose openings failed since they were last asked for.
     failed: BTreeSet<Cookie>,
-    /// Instances of openings that failed, one for each, since they were last asked for.
-    failures: Vec<Cookie>,
 }
 
 impl OpeningMonitor {
@@ -107,7 +105,6 @@
             failing: BTreeMap::new(),
             changes: Vec::new(),
             failed: BTreeSet::new(),
-            failures: Vec::new(),
         }
     }
 
@@ -217,11 +214,6 @@
         std::mem::take(&mut self.failed).into_iter().collect()
     }
 
-    /// The instances of the openings that failed since the last call, one for each opening.
-    pub fn take_failures(&mut self) -> impl Iterator<Item = Cookie> {
-        self.failures.drain(..)
-    }
-
     /// What has changed since the last call.
     pub fn take_changes(&mut self) -> Vec<HealthChange> {
         std::mem::take(&mut self.changes)
@@ -236,9 +228,6 @@
         let health = self.failing.entry(opening.cookie).or_default();
         health.failures = health.failures.saturating_add(1);
         self.failed.insert(opening.cookie);
-        if self.failures.len() < MAXIMUM_PENDING_OPENINGS {
-            self.failures.push(opening.cookie);
-        }
         if health.failures < self.settings.failure_threshold {
             return;
         }
--- a/crates/bellyoke-core/src/cookie/locality.rs
+++ b/crates/bellyoke-core/src/cookie/locality.rs
@@ -164,9 +164,9 @@
         }
     }
 
-    /// How many nodes there are, about.
-    pub fn set_nodes(&mut self, nodes: f64) {
-        self.nodes = nodes as f32;
+    /// How many other nodes this one hears of.
+    pub fn set_peers(&mut self, peers: u64) {
+        self.nodes = peers as f32 + 1.0;
     }
 
     /// The node's own zone; none if no instance stands in it.
@@ -202,9 +202,11 @@
         &mut self,
         now: Timestamp,
         service: ServiceNumber,
+        flow_hash: u64,
         zone: ZoneNumber,
         capacity: ZoneCapacity,
     ) {
+        self.outcomes.opening(now, flow_hash, zone);
         if self.own == Some(zone) {
             self.placements.own += 1;
         } else {
@@ -218,18 +220,13 @@
     }
 
     /// An opening in a zone completed after so long.
-    pub fn opened(&mut self, now: Timestamp, zone: ZoneNumber, after: Duration) {
-        self.outcomes.succeeded(now, zone);
+    pub fn opened(&mut self, now: Timestamp, flow_hash: u64, zone: ZoneNumber, after: Duration) {
+        self.outcomes.opened(now, flow_hash, zone, after);
         if let Some(distance) = self.distances.get_mut(usize::from(zone.0)) {
             distance.add(now, after);
         }
     }
 
-    /// An opening in a zone came to nothing.
-    pub fn failed(&mut self, now: Timestamp, zone: ZoneNumber) {
-        self.outcomes.failed(now, zone);
-    }
-
     /// What became of a request in a zone.
     pub fn sampled(&mut self, now: Timestamp, zone: ZoneNumber, sample: &AnswerSample) {
         let is_own = self.own == Some(zone);
@@ -248,8 +245,8 @@
             return changes;
         }
         self.window_ends = now.after(WINDOW);
-        self.outcomes.review(now);
-        let view = self.view(now, own);
+        self.review_outcomes(now);
+        let view = self.view(own);
         self.part.set(self.nodes, view.zones);
         for (number, service) in self.services.iter_mut().enumerate() {
             service.adapt(now, &view, &mut self.part);
@@ -267,9 +264,21 @@
         changes
     }
 
-    fn view(&self, now: Timestamp, own: ZoneNumber) -> ZoneView {
+    /// Judges which zones lose. Asked before each opening, since a zone that has gone fails all of them.
+    pub fn review_outcomes(&mut self, now: Timestamp) {
+        let distances = &self.distances;
+        let usual = |zone: ZoneNumber| distances.get(usize::from(zone.0))?.ever();
+        self.outcomes.review(now, usual);
+    }
+
+    /// The process stood still: openings under way prove nothing.
+    pub fn stalled(&mut self) {
+        self.outcomes.stalled();
+    }
+
+    fn view(&self, own: ZoneNumber) -> ZoneView {
         let own_distance = self.distances.get(usize::from(own.0));
-        let own_distance = own_distance.and_then(|distance| distance.of_late(now));
+        let own_distance = own_distance.and_then(|distance| distance.ever());
         ZoneView {
             zones: self.zones.len(),
             crossing: self.crossing_cost(own, own_distance),
--- a/crates/bellyoke-core/src/cookie/locality/delays.rs
+++ b/crates/bellyoke-core/src/cookie/locality/delays.rs
@@ -24,6 +24,9 @@
 /// The same for a wait that is just to be seen.
 const WAIT_FACTOR: f32 = 1.3;
 
+/// What one request counts at most, in usual times. Two slots and eight that wait take as long.
+const LONGEST_FACTOR: f32 = 5.0;
+
 /// How far the usual time follows a shorter one in a window, and a longer one. A queue that lasts for minutes
 /// isn't usual yet.
 const USUAL_FALL: f32 = 0.05;
@@ -105,9 +108,10 @@
 }
 
 impl Answers {
-    fn add(&mut self, now: Timestamp, fate: &AnswerFate) {
+    /// `longest` bounds what one request counts: a packet that was lost tells nothing of a queue.
+    fn add(&mut self, now: Timestamp, fate: &AnswerFate, longest: Duration) {
         match fate {
-            AnswerFate::Answered { after, .. } => self.delay.add(now, *after),
+            AnswerFate::Answered { after, .. } => self.delay.add(now, (*after).min(longest)),
             AnswerFate::Short { .. } | AnswerFate::Unanswered { .. } => {
                 self.refused = self.refused * kept(now, self.refused_at) + 1.0;
                 self.refused_at = now;
@@ -147,7 +151,10 @@
         } else {
             &mut self.others
         };
-        answers.add(now, fate);
+        let longest = self.usual.map_or(Duration::MAX, |usual| {
+            Duration::from_secs_f32(usual * LONGEST_FACTOR)
+        });
+        answers.add(now, fate, longest);
     }
 
     /// From request to answer in the own zone, if enough was seen of late.
--- a/crates/bellyoke-core/src/cookie/locality/share.rs
+++ b/crates/bellyoke-core/src/cookie/locality/share.rs
@@ -23,6 +23,9 @@
 /// The share that answers queues, at most: the rest stays to tell when the queue is over.
 const LARGEST_QUEUE_SHARE: f32 = 0.9;
 
+/// The same before any opening went to another zone.
+const FIRST_SHARE: f32 = 0.25;
+
 /// How long a node leaves the share alone after other zones turned out to answer no sooner.
 const PAUSE: Duration = Duration::from_secs(4);
 
@@ -59,6 +62,17 @@
     pub(super) distance: Option<Duration>,
 }
 
+impl ZoneView {
+    /// The largest share for load and queues: while it isn't known what crossing costs, a few find that out.
+    fn largest_share(&self) -> f32 {
+        if self.crossing.is_some() {
+            LARGEST_QUEUE_SHARE
+        } else {
+            FIRST_SHARE
+        }
+    }
+}
+
 /// One service, as a node sees it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceShare {
@@ -117,7 +131,7 @@
             slots: self.capacity.own_slots(),
         });
         let share = demand.map(|demand| part.share_elsewhere(&demand, view.crossing));
-        self.shares.for_load = at_least(share.unwrap_or_default());
+        self.shares.for_load = at_least(share.unwrap_or_default().min(view.largest_share()));
     }
 
     /// More goes elsewhere while the own zone turns requests away, or queues for longer than it takes to
@@ -136,7 +150,7 @@
             Some(step) if now >= self.paused_until => self.shares.for_queue + step,
             _ => self.shares.for_queue * SHARE_DECAY,
         };
-        self.shares.for_queue = at_least(share.min(LARGEST_QUEUE_SHARE));
+        self.shares.for_queue = at_least(share.min(view.largest_share()));
     }
 }
 
--- a/crates/bellyoke-core/src/cookie/locality/utilization.rs
+++ b/crates/bellyoke-core/src/cookie/locality/utilization.rs
@@ -22,9 +22,6 @@
 /// Bounds of the correction: zones with so many times fewer or more nodes than the mean.
 const CORRECTION_BOUNDS: (f32, f32) = (0.05, 4.0);
 
-/// More nodes than any cluster has: how many there are isn't known yet.
-const UNKNOWN_NODES: f32 = 100_000.0;
-
 /// What requests to a service need.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
@@ -56,7 +53,7 @@
 impl ZonePart {
     /// How many nodes and zones there are.
     pub(super) fn set(&mut self, nodes: f32, zones: usize) {
-        let is_known = nodes > 1.0 && nodes < UNKNOWN_NODES && zones > 0;
+        let is_known = nodes > 1.0 && zones > 0;
         self.nodes = is_known.then(|| nodes / zones as f32);
     }
 
--- a/crates/bellyoke-core/src/cookie/placement.rs
+++ b/crates/bellyoke-core/src/cookie/placement.rs
@@ -3,7 +3,7 @@
 //! The flow's hash picks the service by weight, and ranks the instances by rendezvous hashing. An
 //! opening goes to the least busy of the first few; its copies go to the next two, so that they
 //! reach another one if the first choice is dead, whatever the loads are by then. Among instances that are
-//! alike suitable those of one zone may go first ([`crate::cookie::locality`]); the last copy then reaches
+//! alike suitable those of one zone may go first ([`crate::cookie::locality`]); the first copy then reaches
 //! another zone.
 
 use crate::cookie::instance::InstanceId;
@@ -97,24 +97,30 @@
     }
     let best = ranked[0]?;
     let choices = choices(&ranked, &best);
+    let other_zone = fallback.filter(|held| held.suitability == best.suitability);
     let chosen = match copies_before(attempt) {
         0 => least_busy(&ranked[..choices], load),
-        copy => {
-            let next = ranked[..choices + copy].iter().rev().flatten().next();
-            let next = next.copied();
-            let is_last = copy == COPIES;
-            let other_zone = fallback.filter(|held| held.suitability == best.suitability);
-            let stays = next.is_some_and(|next| next.zone_rank == ZoneRank::First);
-            if is_last && stays {
-                other_zone.or(next)
-            } else {
-                next
-            }
-        }
+        copy => copy_target(&ranked, choices, copy, other_zone),
     };
     chosen.map(|ranked| ranked.candidate)
 }
 
+/// Where copy `copy` of an opening goes that had so many choices. If the next instance stands in the zone that
+/// goes first, the first copy goes to another zone and the second one to that instance.
+fn copy_target<'table>(
+    ranked: &[Option<Ranked<'table>>; RANKS],
+    choices: usize,
+    copy: usize,
+    other_zone: Option<Ranked<'table>>,
+) -> Option<Ranked<'table>> {
+    let last_of = |count: usize| ranked[..count].iter().rev().flatten().next().copied();
+    let next = last_of(choices + 1)?;
+    let Some(other_zone) = other_zone.filter(|_| next.zone_rank == ZoneRank::First) else {
+        return last_of(choices + copy);
+    };
+    Some(if copy == 1 { other_zone } else { next })
+}
+
 /// How many of the first are alike: an opening goes to the least busy of them. Enough are left for its
 /// copies, unless there are too few.
 fn choices(ranked: &[Option<Ranked<'_>>; RANKS], best: &Ranked<'_>) -> usize {
--- a/crates/bellyoke-core/tests/cookie/locality.rs
+++ b/crates/bellyoke-core/tests/cookie/locality.rs
@@ -141,7 +141,7 @@
             (0..load.nodes[zone]).map(move |_| {
                 let forwarder = Forwarder::new(HealthSettings::default());
                 let mut forwarder = forwarder.with_zone(names[zone]);
-                forwarder.set_nodes(f64::from(all_nodes));
+                forwarder.set_peers(u64::from(all_nodes) - 1);
                 (zone, forwarder)
             })
         });
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -16,4 +16,5 @@
 mod replica;
 mod stall;
 mod support;
+mod zone_choice;
 mod zones;
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -238,6 +238,8 @@
         self.show_link(now);
         let nodes = self.shared.nodes.load(Ordering::Relaxed);
         self.forwarder.set_nodes(nodes as f64);
+        let peers = self.shared.peers.load(Ordering::Relaxed);
+        self.forwarder.set_peers(peers);
         let suspected = self.shared.peer_suspicions.load();
         self.forwarder.set_peer_suspicions(&suspected);
         self.log_health_changes(now, table);
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -10,6 +10,7 @@
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
 use std::net::SocketAddrV4;
+use std::sync::atomic::Ordering;
 
 /// The gauge of the confirmation's age while there is none.
 const NEVER_CONFIRMED: i64 = -1;
@@ -135,7 +136,9 @@
             .exchange()
             .peers()
             .filter(|(_, peer)| peer.heard);
-        set(&metrics.peers, heard.count() as u128);
+        let heard = heard.count() as u64;
+        self.shared.peers.store(heard, Ordering::Relaxed);
+        set(&metrics.peers, u128::from(heard));
         let instances = self.coordinator.replica().directory().instances();
         set(&metrics.instances, instances.count() as u128);
         let unreachable = self.shared.unreachable.load().len();
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -30,6 +30,8 @@
     pub avoided: ArcSwap<BTreeSet<Cookie>>,
     /// How many nodes there are at most, for the traffic thread.
     pub nodes: AtomicU64,
+    /// How many other nodes this one hears of, for the traffic thread.
+    pub peers: AtomicU64,
     /// Instances at which the traffic thread's openings completed a moment ago.
     pub sound: ArcSwap<Vec<Cookie>>,
     /// Where the traffic thread says which instances it doubts.
@@ -54,6 +56,7 @@
             unreachable: ArcSwap::default(),
             nodes: AtomicU64::new(u64::MAX),
             avoided: ArcSwap::default(),
+            peers: AtomicU64::new(0),
             sound: ArcSwap::default(),
             doubts,
             last_tick: AtomicU64::new(clock.now().as_micros()),
