--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -207,7 +207,11 @@
     /// How many nodes there are, at least.
     pub fn set_nodes(&mut self, nodes: f64) {
         self.cold.set_nodes(nodes);
-        self.zones.set_nodes(nodes);
+    }
+
+    /// How many other nodes this one hears of.
+    pub fn set_peers(&mut self, peers: u64) {
+        self.zones.set_peers(peers);
     }
 
     /// What to do with a packet that was read at `now`; `backlog` tells whether it may have
@@ -231,7 +235,6 @@
     /// instances.
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
-        self.note_failures(now, table);
         self.cold.expire(now);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
@@ -408,6 +411,7 @@
     pub fn stalled(&mut self) {
         self.monitor.forget_pending();
         self.answers.forget_requests(&mut self.flows);
+        self.zones.stalled();
     }
 
     fn open(
@@ -428,6 +432,7 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         self.zones.adopt(table);
+        self.zones.review_outcomes(now);
         let tries = route.terms.kind.may_repeat() && tries_outliers(flow_hash);
         let chosen = self.choose(now, table, part, flow_hash, attempt, tries);
         let Some((chosen, suitability)) = chosen else {
@@ -438,7 +443,6 @@
             self.cold.opened(now, chosen.id);
         }
         self.monitor.opening(now, flow_hash, destination.cookie);
-        self.note_failures(now, table);
         self.loads.count(now, destination.cookie, OPENING_WEIGHT);
         Decision::Place {
             destination,
@@ -484,7 +488,8 @@
         let zone_rank = |candidate: &Candidate| ranks.of(candidate.zone);
         let chosen = choose_by_zone(candidates, flow_hash, attempt, suitability, zone_rank, load)?;
         let suitability = self.suitability(now, chosen, share)?;
-        self.zones.placed(now, part.service, chosen.zone, capacity);
+        self.zones
+            .placed(now, part.service, flow_hash, chosen.zone, capacity);
         Some((chosen, suitability))
     }
 
@@ -561,20 +566,13 @@
         &mut self,
         now: Timestamp,
         table: &ForwardingTable,
+        flow_hash: u64,
         cookie: Cookie,
         after: Duration,
     ) {
         if let Some((_, zone)) = table.place_of(cookie) {
             self.zones.adopt(table);
-            self.zones.opened(now, zone, after);
-        }
-    }
-
-    fn note_failures(&mut self, now: Timestamp, table: &ForwardingTable) {
-        for cookie in self.monitor.take_failures() {
-            if let Some((_, zone)) = table.place_of(cookie) {
-                self.zones.failed(now, zone);
-            }
+            self.zones.opened(now, flow_hash, zone, after);
         }
     }
 
@@ -641,7 +639,7 @@
         let opened_after = self.monitor.progress(now, packet.flow.hash(), cookie);
         if let Some(after) = opened_after {
             self.lives(now.before(after), cookie);
-            self.note_opened(now, table, cookie, after);
+            self.note_opened(now, table, packet.flow.hash(), cookie, after);
         }
         if packet.role == PacketRole::Later
             && (self.is_unanswered(now, packet, cookie) || self.asks_in_vain(now, packet, cookie))
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -22,4 +22,5 @@
 mod replica;
 mod stall;
 mod support;
+mod zone_choice;
 mod zones;
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -249,7 +249,9 @@
             .exchange()
             .peers()
             .filter(|(_, peer)| peer.heard);
-        set(&metrics.peers, heard.count() as u128);
+        let heard = heard.count() as u64;
+        self.shared.peers.store(heard, Ordering::Relaxed);
+        set(&metrics.peers, u128::from(heard));
         let instances = self.coordinator.replica().directory().instances();
         set(&metrics.instances, instances.count() as u128);
         let unreachable = self.shared.unreachable.load().len();
