Refuse the least urgent openings of a service while most of its instances queue and turn requests away

Cause: under overload instances turn away whoever comes last, and reset flows beyond what they hold.

Ruled out: a rate set by hand (nobody knows it), losses alone (errors of a fifth would refuse), queues alone (slow instances lose nothing), judging requests by when they were asked (what is turned away returns sooner than what is answered: the budget overshrank), the larger of two windows as first budget.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -130,6 +130,7 @@
     SettingsReloaded = 831, Info, "The settings were read again.";
     SettingsRejected = 832, Warn, "The settings have changed but cannot be used; the old ones stay in force.";
     MetricsUnavailable = 833, Warn, "The address of the metrics cannot be bound; the node runs without it.";
+    AdmissionChanged = 851, Warn, "Most instances of a service queue and turn requests away, so that this node refuses new flows of the lowest priority; or they no longer do. The line tells the openings offered, served and admitted a second, and what spoke for it.";
 }
 
 impl fmt::Display for EventCode {
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,5 +1,6 @@
 //! The decision for each packet.
 
+use crate::cookie::admission::{AdmissionChange, AdmissionGate, AdmissionSettings};
 use crate::cookie::cold::{ColdLimiter, ColdShare};
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
 use crate::cookie::instance::Cookie;
@@ -72,6 +73,8 @@
     NoRoute,
     /// The route's services have no instance that takes new flows.
     NoInstance,
+    /// The service's instances are overloaded, and what is admitted goes to others first.
+    Overloaded,
 }
 
 /// Why an open flow is ended.
@@ -114,6 +117,7 @@
     /// Instances that showed life while probes spoke against them: they only take no connections, so
     /// that probes tell nothing of them.
     proven: BTreeSet<Cookie>,
+    admission: AdmissionGate,
 }
 
 impl Forwarder {
@@ -130,6 +134,7 @@
             cold: ColdLimiter::new(None, 0),
             alive_at: SeenTable::new(INSTANCE_PLACES),
             proven: BTreeSet::new(),
+            admission: AdmissionGate::new(AdmissionSettings::default()),
         }
     }
 
@@ -139,6 +144,15 @@
         Self { cold, ..self }
     }
 
+    /// The same, admitting new flows by these settings.
+    #[must_use]
+    pub fn with_admission(self, settings: AdmissionSettings) -> Self {
+        Self {
+            admission: AdmissionGate::new(settings),
+            ..self
+        }
+    }
+
     /// How many nodes there are, at least.
     pub fn set_nodes(&mut self, nodes: f64) {
         self.cold.set_nodes(nodes);
@@ -165,12 +179,28 @@
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
         self.cold.expire(now);
+        let (failed, waited) = (
+            self.monitor.failed_of_late(),
+            self.monitor.opening_timeout(),
+        );
+        self.admission.expire(now, table, failed, waited);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
         self.proven.retain(|cookie| is_known(*cookie));
         self.monitor.take_changes()
     }
 
+    /// What changed in the belief about services' load since the last call.
+    pub fn review_admission(&mut self, now: Timestamp) -> Vec<AdmissionChange> {
+        self.admission.review(now)
+    }
+
+    /// How much of what is offered is admitted.
+    #[must_use]
+    pub const fn admission(&self) -> &AdmissionGate {
+        &self.admission
+    }
+
     /// Instances that fail the openings of this thread.
     pub fn failing_instances(&self) -> impl Iterator<Item = Cookie> {
         self.monitor.failing_instances()
@@ -227,6 +257,11 @@
             return Decision::Refuse(RefusalReason::NoInstance);
         };
         let candidates = table.candidates(part);
+        let terms = &route.terms;
+        let admission = &mut self.admission;
+        if !admission.admits(now, table, packet, attempt, part.service, terms) {
+            return Decision::Refuse(RefusalReason::Overloaded);
+        }
         let Some((chosen, suitability)) = self.choose(now, candidates, flow_hash, attempt) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
@@ -349,6 +384,7 @@
             return Decision::Reset(ResetReason::Superseded);
         }
         self.note_life(now, packet, cookie);
+        self.admission.followed(now, table, packet, cookie);
         if packet.role == PacketRole::Later && self.is_unanswered(now, packet, cookie) {
             return Decision::Reset(ResetReason::Unreachable);
         }
--- a/crates/bellyoke-core/src/cookie/health.rs
+++ b/crates/bellyoke-core/src/cookie/health.rs
@@ -129,6 +129,12 @@
         failures >= self.settings.doubt_threshold
     }
 
+    /// After how long an opening has failed.
+    #[must_use]
+    pub const fn opening_timeout(&self) -> Duration {
+        self.settings.opening_timeout
+    }
+
     /// Instances that fail the openings of this node itself.
     pub fn failing_instances(&self) -> impl Iterator<Item = Cookie> {
         let threshold = self.settings.failure_threshold;
@@ -209,6 +215,11 @@
         lately.map(|(cookie, _)| *cookie).collect()
     }
 
+    /// Instances at which an opening failed since they were last taken.
+    pub fn failed_of_late(&self) -> impl Iterator<Item = Cookie> {
+        self.failed.iter().copied()
+    }
+
     /// Instances at which an opening failed since the last call, be it the first one.
     pub fn take_failed(&mut self) -> Vec<Cookie> {
         std::mem::take(&mut self.failed).into_iter().collect()
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! Like the rest of the crate nothing here has a socket, clock or thread:
 //!
-//! * one packet: [`packet`] and [`forwarder`], with [`flows`] seen of late and the [`answers`] to their requests, [`placement`] of new flows, the limit of [`cold`] instances,
+//! * one packet: [`packet`] and [`forwarder`], with [`flows`] seen of late and the [`answers`] to their requests, [`placement`] and [`admission`] of new flows, the limit of [`cold`] instances,
 //!   [`load`] and [`health`] of
 //!   instances from the progress of openings, [`reachability`] of those in question by probes;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
@@ -17,6 +17,7 @@
 //!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
 //!   [`exchange`] (peers), [`coordinator`] (these together), [`stall`] and [`readiness`].
 
+pub mod admission;
 pub mod answers;
 pub mod cold;
 pub mod coordinator;
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/admission.rs
@@ -0,0 +1,491 @@
+//! Admission by priority: what callers get while instances are overloaded, and that nobody is refused
+//! while they have room.
+
+use crate::support::{TOMBSTONE_LIFETIME, at, record};
+use bellyoke_core::cookie::admission::AdmissionSettings;
+use bellyoke_core::cookie::forwarder::{Decision, Forwarder, RefusalReason};
+use bellyoke_core::cookie::health::HealthSettings;
+use bellyoke_core::cookie::instance::Cookie;
+use bellyoke_core::cookie::packet::{FlowPacket, FlowTuple, PacketRole};
+use bellyoke_core::cookie::replica::Replica;
+use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::route::{
+    Configuration, RequestKind, Route, RouteTerms, WeightedService,
+};
+use bellyoke_core::cookie::table::ForwardingTable;
+use bellyoke_core::time::Timestamp;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const NODES: usize = 10;
+const TARGETS: u64 = 24;
+const SLOTS: usize = 2;
+const QUEUE: usize = 8;
+/// Requests a second that all targets bear: two of nine take 52 ms, the others 40 ms.
+const CAPACITY: f64 = TARGETS as f64 * SLOTS as f64 / 0.0427;
+const AIM: u64 = 500_000;
+const TRIES: u32 = 3;
+
+/// Kinds of requests, by the last byte of their route's address.
+const ORDER: u8 = 1;
+const LOOKUP: u8 = 2;
+const CHECK: u8 = 3;
+
+fn address(kind: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, kind), 443)
+}
+
+fn route(last: u8, kind: RequestKind, priority: u8) -> Route {
+    Route {
+        address: address(last),
+        services: vec![WeightedService {
+            service: "till".to_owned(),
+            weight: 1,
+        }],
+        terms: RouteTerms {
+            kind,
+            priority,
+            aim_milliseconds: 500,
+            timeout_milliseconds: 3_000,
+        },
+    }
+}
+
+fn table() -> ForwardingTable {
+    let mut replica = Replica::new(TOMBSTONE_LIFETIME);
+    replica.adopt_configuration(Configuration {
+        revision: Revision(1),
+        version: 1,
+        routes: vec![
+            route(ORDER, RequestKind::NonIdempotent, 1),
+            route(LOOKUP, RequestKind::Idempotent, 2),
+            route(CHECK, RequestKind::Idempotent, 2),
+        ],
+        limits: Vec::new(),
+        idle_timeout_milliseconds: 15_000,
+    });
+    let records = (1..=TARGETS).map(|id| record(id, 1)).collect();
+    replica.replace_instances(at(0), Revision(10), records);
+    replica.table()
+}
+
+/// What became of the requests of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    sent: u32,
+    in_aim: u32,
+    late: u32,
+    refused_tries: u32,
+    /// When an opening was last refused, microseconds.
+    last_refusal: u64,
+}
+
+impl Outcome {
+    fn served(&self) -> f64 {
+        f64::from(self.in_aim + self.late) / f64::from(self.sent.max(1))
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Request {
+    kind: u8,
+    began: u64,
+    tries: u32,
+}
+
+#[derive(Clone, Copy)]
+enum Event {
+    Arrival,
+    Try(Request),
+    Data(usize),
+    Finish(usize),
+    Answer(usize, u32),
+    Review,
+}
+
+struct Flow {
+    request: Request,
+    node: usize,
+    tuple: FlowTuple,
+    cookie: Cookie,
+    target: u64,
+}
+
+#[derive(Default)]
+struct Target {
+    busy: usize,
+    queue: VecDeque<usize>,
+}
+
+/// What happens, besides the load.
+#[derive(Clone, Copy)]
+struct Play {
+    enabled: bool,
+    /// Requests a second at a time, microseconds, as a part of what targets bear.
+    load: fn(u64) -> f64,
+    /// Factor to the time of work at a target.
+    slowness: fn(u64, u64) -> f64,
+    /// Whether a target fails a request at once.
+    fails: fn(u64) -> bool,
+    /// The node that a flow's hash leads to, of [`NODES`].
+    node: fn(f64) -> usize,
+    until: u64,
+}
+
+const CALM: Play = Play {
+    enabled: true,
+    load: |_| 0.7,
+    slowness: |_, _| 1.0,
+    fails: |_| false,
+    node: any_node,
+    until: 10_000_000,
+};
+
+fn any_node(drawn: f64) -> usize {
+    (drawn * NODES as f64) as usize
+}
+
+/// Clients, nodes and targets in virtual time.
+struct World {
+    play: Play,
+    table: ForwardingTable,
+    nodes: Vec<Forwarder>,
+    targets: BTreeMap<u64, Target>,
+    flows: Vec<Flow>,
+    events: BinaryHeap<Reverse<(u64, usize)>>,
+    scheduled: Vec<Event>,
+    random: StdRng,
+    outcomes: BTreeMap<u8, Outcome>,
+}
+
+impl World {
+    fn run(play: Play, seed: u64) -> BTreeMap<u8, Outcome> {
+        let settings = AdmissionSettings {
+            enabled: play.enabled,
+            ..AdmissionSettings::default()
+        };
+        let forwarder = || Forwarder::new(HealthSettings::default()).with_admission(settings);
+        let mut world = Self {
+            play,
+            table: table(),
+            nodes: (0..NODES).map(|_| forwarder()).collect(),
+            targets: (1..=TARGETS).map(|id| (id, Target::default())).collect(),
+            flows: Vec::new(),
+            events: BinaryHeap::new(),
+            scheduled: Vec::new(),
+            random: StdRng::seed_from_u64(seed),
+            outcomes: BTreeMap::new(),
+        };
+        world.schedule(0, Event::Arrival);
+        world.schedule(0, Event::Review);
+        while let Some(Reverse((now, number))) = world.events.pop() {
+            world.handle(now, world.scheduled[number]);
+        }
+        world.outcomes
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.events.push(Reverse((at, self.scheduled.len())));
+        self.scheduled.push(event);
+    }
+
+    fn handle(&mut self, now: u64, event: Event) {
+        match event {
+            Event::Arrival => self.arrive(now),
+            Event::Try(request) => self.open(now, request),
+            Event::Data(flow) => self.ask(now, flow),
+            Event::Finish(flow) => self.finish(now, flow),
+            Event::Answer(flow, bytes) => self.answer(now, flow, bytes),
+            Event::Review => self.review(now),
+        }
+    }
+
+    fn review(&mut self, now: u64) {
+        for node in &mut self.nodes {
+            node.review(Timestamp::from_micros(now), &self.table);
+            node.review_admission(Timestamp::from_micros(now));
+        }
+        if now < self.play.until {
+            self.schedule(now + 100_000, Event::Review);
+        }
+    }
+
+    fn arrive(&mut self, now: u64) {
+        let kind = if self.random.random_range(0..9) < 2 {
+            ORDER
+        } else {
+            LOOKUP
+        };
+        self.outcomes.entry(kind).or_default().sent += 1;
+        let request = Request {
+            kind,
+            began: now,
+            tries: 0,
+        };
+        self.open(now, request);
+        let rate = CAPACITY * (self.play.load)(now);
+        let pause = -self.random.random::<f64>().max(1e-9).ln() / rate * 1e6;
+        if now < self.play.until {
+            self.schedule(now + pause as u64, Event::Arrival);
+        }
+    }
+
+    fn open(&mut self, now: u64, request: Request) {
+        let number = u32::try_from(self.scheduled.len()).unwrap();
+        let client = Ipv4Addr::from(0x6440_0000 + number / 60_000);
+        let tuple = FlowTuple {
+            client: SocketAddrV4::new(client, u16::try_from(1_024 + number % 60_000).unwrap()),
+            service: address(request.kind),
+        };
+        let node = (self.play.node)(self.random.random());
+        let packet = packet(tuple, PacketRole::Opening { attempt: 0 });
+        let decision =
+            self.nodes[node].decide(Timestamp::from_micros(now), &self.table, &packet, false);
+        match decision {
+            Decision::Place { destination, .. } => {
+                self.flows.push(Flow {
+                    request,
+                    node,
+                    tuple,
+                    cookie: destination.cookie,
+                    target: destination.instance.0,
+                });
+                self.schedule(now + 3_000, Event::Data(self.flows.len() - 1));
+            }
+            Decision::Refuse(RefusalReason::Overloaded) => {
+                let outcome = self.outcomes.entry(request.kind).or_default();
+                outcome.refused_tries += 1;
+                outcome.last_refusal = now;
+                self.again(now, request);
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// The client tries once more on a new flow, if it may.
+    fn again(&mut self, now: u64, request: Request) {
+        let tries = request.tries + 1;
+        if tries < TRIES {
+            let pause = self.random.random_range(40_000..120_000);
+            self.schedule(now + pause, Event::Try(Request { tries, ..request }));
+        }
+    }
+
+    fn ask(&mut self, now: u64, number: usize) {
+        let flow = &self.flows[number];
+        let data = FlowPacket {
+            cookie: Some(flow.cookie),
+            data_sequence: Some(1),
+            data_length: 200,
+            ..packet(flow.tuple, PacketRole::Later)
+        };
+        self.nodes[flow.node].decide(Timestamp::from_micros(now), &self.table, &data, false);
+        let id = flow.target;
+        let target = self.targets.get_mut(&id).unwrap();
+        if (self.play.fails)(id) {
+            self.schedule(now + 2_000, Event::Answer(number, 140));
+        } else if target.busy < SLOTS {
+            target.busy += 1;
+            self.start(now, number);
+        } else if target.queue.len() < QUEUE {
+            target.queue.push_back(number);
+        } else {
+            self.schedule(now + 2_000, Event::Answer(number, 140));
+        }
+    }
+
+    fn start(&mut self, now: u64, number: usize) {
+        let flow = &self.flows[number];
+        let mean = if flow.request.kind == ORDER {
+            52e3
+        } else {
+            40e3
+        };
+        let slowness = (self.play.slowness)(flow.target, now);
+        // A mean of one, and a scatter of about a half.
+        let scatter: f64 = (0..4).map(|_| self.random.random::<f64>()).sum::<f64>() / 2.0;
+        let work = mean * slowness * scatter;
+        self.schedule(now + work as u64, Event::Finish(number));
+    }
+
+    fn finish(&mut self, now: u64, number: usize) {
+        let target = self.targets.get_mut(&self.flows[number].target).unwrap();
+        match target.queue.pop_front() {
+            Some(next) => self.start(now, next),
+            None => target.busy -= 1,
+        }
+        self.schedule(now + 1_000, Event::Answer(number, 2_000));
+    }
+
+    fn answer(&mut self, now: u64, number: usize, bytes: u32) {
+        let flow = &self.flows[number];
+        let request = flow.request;
+        let end = FlowPacket {
+            cookie: Some(flow.cookie),
+            acknowledged: bytes,
+            closes: true,
+            ..packet(flow.tuple, PacketRole::Later)
+        };
+        self.nodes[flow.node].decide(Timestamp::from_micros(now), &self.table, &end, false);
+        let outcome = self.outcomes.entry(request.kind).or_default();
+        if bytes < 200 {
+            self.again(now, request);
+        } else if now - request.began <= AIM {
+            outcome.in_aim += 1;
+        } else {
+            outcome.late += 1;
+        }
+    }
+}
+
+fn packet(flow: FlowTuple, role: PacketRole) -> FlowPacket {
+    FlowPacket {
+        flow,
+        role,
+        cookie: None,
+        data_sequence: None,
+        data_length: 0,
+        closes: false,
+        acknowledged: 0,
+    }
+}
+
+fn total(outcomes: &BTreeMap<u8, Outcome>) -> Outcome {
+    let mut total = Outcome::default();
+    for outcome in outcomes.values() {
+        total.sent += outcome.sent;
+        total.in_aim += outcome.in_aim;
+        total.late += outcome.late;
+        total.refused_tries += outcome.refused_tries;
+        total.last_refusal = total.last_refusal.max(outcome.last_refusal);
+    }
+    total
+}
+
+/// Calm, six seconds of a load, calm.
+fn burst(now: u64, load: f64) -> f64 {
+    if (3_000_000..9_000_000).contains(&now) {
+        load
+    } else {
+        0.2
+    }
+}
+
+const SIX_TIMES: Play = Play {
+    load: |now| burst(now, 1.2),
+    until: 12_000_000,
+    ..CALM
+};
+
+const TWELVE_TIMES: Play = Play {
+    load: |now| burst(now, 2.4),
+    ..SIX_TIMES
+};
+
+const fn without(play: Play) -> Play {
+    Play {
+        enabled: false,
+        ..play
+    }
+}
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+#[test]
+fn at_a_fifth_too_much_orders_are_served_and_nothing_idles() {
+    for seed in SEEDS {
+        let held = World::run(SIX_TIMES, seed);
+        let free = World::run(without(SIX_TIMES), seed);
+        println!(
+            "seed {seed}: orders {:.4} of all {:.4}, without {:.4} {:.4}",
+            held[&ORDER].served(),
+            total(&held).served(),
+            free[&ORDER].served(),
+            total(&free).served()
+        );
+        assert!(held[&ORDER].served() > 0.985, "{seed}: {:?}", held[&ORDER]);
+        let (held, free) = (total(&held).served(), total(&free).served());
+        assert!(held > free - 0.06, "{seed}: {held} of all, without {free}");
+    }
+}
+
+#[test]
+fn at_more_than_twice_what_is_borne_orders_go_first() {
+    for seed in SEEDS {
+        let held = World::run(TWELVE_TIMES, seed);
+        let free = World::run(without(TWELVE_TIMES), seed);
+        println!(
+            "seed {seed}: orders {:.4} of all {:.4}, without {:.4} {:.4}",
+            held[&ORDER].served(),
+            total(&held).served(),
+            free[&ORDER].served(),
+            total(&free).served()
+        );
+        assert!(held[&ORDER].served() > 0.95, "{seed}: {:?}", held[&ORDER]);
+        assert!(free[&ORDER].served() < 0.9, "{seed}: {:?}", free[&ORDER]);
+    }
+}
+
+#[test]
+fn a_second_after_a_burst_nothing_is_refused() {
+    for seed in SEEDS {
+        let held = total(&World::run(TWELVE_TIMES, seed));
+        assert!(held.refused_tries > 0);
+        assert!(held.last_refusal < 10_000_000, "{seed}: {held:?}");
+    }
+}
+
+#[test]
+fn nobody_is_refused_while_instances_have_room() {
+    let plays = [
+        ("calm", CALM),
+        (
+            "a fifth slow",
+            Play {
+                slowness: |id, _| if id % 5 == 0 { 4.0 } else { 1.0 },
+                ..CALM
+            },
+        ),
+        (
+            "a fifth failing",
+            Play {
+                fails: |id| id % 5 == 0,
+                ..CALM
+            },
+        ),
+        (
+            "a release, each cold for 2 s",
+            Play {
+                slowness: |id, now| {
+                    let started = 2_000_000 + id * 250_000;
+                    let is_cold = (started..started + 2_000_000).contains(&now);
+                    if is_cold { 1.6 } else { 1.0 }
+                },
+                ..CALM
+            },
+        ),
+        (
+            "most at one node",
+            Play {
+                node: |drawn| if drawn < 0.6 { 0 } else { any_node(drawn) },
+                ..CALM
+            },
+        ),
+        (
+            "few requests",
+            Play {
+                load: |_| 0.02,
+                ..CALM
+            },
+        ),
+    ];
+    for (name, play) in plays {
+        for seed in SEEDS {
+            let held = total(&World::run(play, seed));
+            assert_eq!(held.refused_tries, 0, "{name}, {seed}: {held:?}");
+        }
+    }
+}
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -1,5 +1,6 @@
 //! Forwarding by connection cookie: each invariant of [`bellyoke_core::cookie`].
 
+mod admission;
 mod cold;
 mod directory;
 mod ended_instances;
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -23,6 +23,8 @@
     RefusedNoRoute,
     /// Answered with a reset: no instance.
     RefusedNoInstance,
+    /// Answered with a reset: the service is overloaded.
+    RefusedOverloaded,
     /// The open flow was ended with a reset: its instance's address has passed to another one.
     ResetSuperseded,
     /// The open flow was ended with a reset: its instance can't be reached.
@@ -46,12 +48,13 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::Placed,
         Self::Followed,
         Self::Held,
         Self::RefusedNoRoute,
         Self::RefusedNoInstance,
+        Self::RefusedOverloaded,
         Self::ResetSuperseded,
         Self::ResetUnreachable,
         Self::DroppedBacklog,
@@ -73,6 +76,7 @@
             Self::Held => "held",
             Self::RefusedNoRoute => "refused_no_route",
             Self::RefusedNoInstance => "refused_no_instance",
+            Self::RefusedOverloaded => "refused_overloaded",
             Self::ResetSuperseded => "reset_superseded",
             Self::ResetUnreachable => "reset_unreachable",
             Self::DroppedBacklog => "dropped_backlog",
@@ -94,6 +98,7 @@
             Decision::Follow { .. } => Self::Followed,
             Decision::Refuse(RefusalReason::NoRoute) => Self::RefusedNoRoute,
             Decision::Refuse(RefusalReason::NoInstance) => Self::RefusedNoInstance,
+            Decision::Refuse(RefusalReason::Overloaded) => Self::RefusedOverloaded,
             Decision::Reset(ResetReason::Superseded) => Self::ResetSuperseded,
             Decision::Reset(ResetReason::Unreachable) => Self::ResetUnreachable,
             Decision::Drop(DropReason::Backlog) => Self::DroppedBacklog,
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -4,9 +4,8 @@
 use super::sender::{LinkSender, SendOutcome};
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
-use bellyoke_core::cookie::cold::ColdLimiter;
 use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
-use bellyoke_core::cookie::health::{HealthChange, HealthSettings};
+use bellyoke_core::cookie::health::HealthChange;
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::packet::{Destination, FlowPacket, PacketCodec};
 use bellyoke_core::cookie::placement::Suitability;
@@ -49,11 +48,11 @@
     socket: UdpSocket,
     codec: Codec,
     shared: Arc<Shared>,
-    cold: ColdLimiter,
+    forwarder: Forwarder,
 ) -> io::Result<JoinHandle<()>> {
     let builder = std::thread::Builder::new();
     let builder = builder.name(name).stack_size(STACK_LENGTH);
-    builder.spawn(move || TrafficThread::new(socket, codec, shared, cold).run())
+    builder.spawn(move || TrafficThread::new(socket, codec, shared, forwarder).run())
 }
 
 struct TrafficThread<Codec> {
@@ -70,13 +69,13 @@
 }
 
 impl<Codec: PacketCodec> TrafficThread<Codec> {
-    fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>, cold: ColdLimiter) -> Self {
+    fn new(socket: UdpSocket, codec: Codec, shared: Arc<Shared>, forwarder: Forwarder) -> Self {
         let client_port = socket.local_addr().map_or(0, |address| address.port());
         Self {
             sender: LinkSender::new(socket),
             codec,
             shared,
-            forwarder: Forwarder::new(HealthSettings::default()).with_cold_limiter(cold),
+            forwarder,
             guard: BacklogGuard::default(),
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             next_review: Timestamp::ZERO,
@@ -284,6 +283,7 @@
     }
 
     fn log_health_changes(&mut self, now: Timestamp, table: &ForwardingTable) {
+        self.log_admission_changes(now);
         for change in self.forwarder.review(now, table) {
             match change {
                 HealthChange::Suspected { cookie, failures } => self.limiter.log(
@@ -300,6 +300,26 @@
         }
     }
 
+    fn log_admission_changes(&mut self, now: Timestamp) {
+        for change in self.forwarder.review_admission(now) {
+            self.limiter.log(
+                EventCode::AdmissionChanged,
+                now,
+                format_args!(
+                    "service={} overloaded={} offered={:.1} served={:.1} admitted={:.1} lost_share={:.3} sampled={} queueing={}",
+                    change.service,
+                    change.overloaded,
+                    change.offered,
+                    change.served,
+                    change.budget,
+                    change.lost_share,
+                    change.queues.sampled,
+                    change.queues.queueing,
+                ),
+            );
+        }
+    }
+
     fn log_placed(
         &mut self,
         now: Timestamp,
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -15,7 +15,9 @@
 use bellyoke_api::result_code::ResultCode;
 use bellyoke_core::cookie::cold::ColdLimiter;
 use bellyoke_core::cookie::follower::FollowerSettings;
+use bellyoke_core::cookie::forwarder::Forwarder;
 use bellyoke_core::cookie::freshness::ObjectKind;
+use bellyoke_core::cookie::health::HealthSettings;
 use bellyoke_core::cookie::packet::PacketCodec;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::clock::MonotonicClock;
@@ -158,8 +160,17 @@
     let data_socket = UdpSocket::bind(data_address)
         .with_context(|| format!("bind node.data_address {data_address}"))?;
     let cold = ColdLimiter::new(settings.cold.allowance(), rand::random());
-    start_traffic_thread("traffic-0".to_owned(), data_socket, codec, shared, cold)
-        .context("start a traffic thread")?;
+    let forwarder = Forwarder::new(HealthSettings::default())
+        .with_cold_limiter(cold)
+        .with_admission(settings.admission.admission());
+    start_traffic_thread(
+        "traffic-0".to_owned(),
+        data_socket,
+        codec,
+        shared,
+        forwarder,
+    )
+    .context("start a traffic thread")?;
     follow_store(&link, &settings, &store);
     spawn_local(probe_instances(link.clone(), doubted));
     log_event(
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of the daemon.
 
+use bellyoke_core::cookie::admission::AdmissionSettings;
 use bellyoke_core::cookie::cold::ColdAllowance;
 use bellyoke_process::log::LogSettings;
 use bellyoke_process::settings::descriptor::DefaultValue::{Absent, Literal, Required};
@@ -55,6 +56,10 @@
         "Factor to the flows that cold instances are said to bear, up to which all nodes together may open flows there. Without it they have no limit, whatever `slack` says."),
     key("cold", "slack", "flows/s", integer(0, 1_000_000), Literal("0"),
         "Flows a second that cold instances may get beyond that."),
+    key("admission", "enabled", "", ValueKind::Switch, Literal("true"),
+        "Whether new flows are refused, the lowest priority first, while most instances of their service queue and turn requests away."),
+    key("admission", "lost_percent", "%", integer(0, 100), Literal("12"),
+        "Share of a service's requests that its instances may turn away in overload before less is admitted. With none, instances idle between two requests."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -83,6 +88,8 @@
     pub timing: TimingSettings,
     /// What cold instances may get.
     pub cold: ColdSettings,
+    /// Which new flows are refused in overload.
+    pub admission: OverloadSettings,
     /// The log.
     pub log: LogSettings,
 }
@@ -174,6 +181,27 @@
     }
 }
 
+/// Which new flows are refused in overload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OverloadSettings {
+    /// Whether any are.
+    pub enabled: bool,
+    /// Share of requests that instances may turn away, percent.
+    pub lost_percent: u8,
+}
+
+impl OverloadSettings {
+    /// As the traffic threads take them.
+    #[must_use]
+    pub fn admission(&self) -> AdmissionSettings {
+        AdmissionSettings {
+            enabled: self.enabled,
+            lost_share: f32::from(self.lost_percent) / 100.0,
+        }
+    }
+}
+
 impl TimingSettings {
     /// How long gone instances are remembered: the longest life of a flow, and some more for
     /// packets under way.
