--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -135,6 +135,7 @@
     OutlierSetAside = 845, Warn, "Requests to an instance fail or are answered late, unlike those to the service's other instances; others are preferred.";
     OutlierLetBack = 846, Info, "An instance that was set aside for its answers gets new flows like others again.";
     OutliersChanged = 847, Info, "What this node has heard of instances whose answers fail has changed; others are preferred to these.";
+    AdmissionChanged = 851, Warn, "Most instances of a service queue and turn requests away, so that this node refuses new flows of the lowest priority; or they no longer do. The line tells the openings offered, served and admitted a second, and what spoke for it.";
     ZoneShareChanged = 855, Info, "Another share of a service's new flows goes to other zones than this node's; the line tells why.";
     DutyTaken = 861, Info, "This node watches the store for all; the line tells the class of its machine, its zone and its rank among the claims.";
     DutyLeft = 862, Info, "This node has ceased to watch the store for all; the line tells the class of its machine, its zone and its rank among the claims.";
--- a/crates/bellyoke-core/src/cookie/answers/baseline.rs
+++ b/crates/bellyoke-core/src/cookie/answers/baseline.rs
@@ -39,14 +39,13 @@
 /// No request is overdue sooner while nothing is known of its route.
 const UNKNOWN_OVERDUE: Duration = Duration::from_secs(2);
 
-/// Where odd answers are more than this part of all, they are the usual ones.
-const ODD_PART: f32 = 0.5;
-
-/// Weight of one answer in the part of odd ones.
-const ODD_WEIGHT: f32 = 1.0 / 32.0;
+/// So many odd answers in a row are the usual ones. Instances that bear an eighth of what they get still answer one in
+/// eight as usual, so that what they turn away in overload isn't taken for an answer: 96 others in a row come
+/// once in 400,000 requests then.
+const ODD_ROW: u32 = 96;
 
 /// What the answers on one route are usually like, learned from them. Few odd answers don't change it: they
-/// aren't learned unless most are odd.
+/// aren't learned unless all are odd.
 ///
 /// ```
 /// use bellyoke_core::cookie::answers::AnswerBaseline;
@@ -69,16 +68,20 @@
     short_below: u32,
     slow_above: Duration,
     median_time: Duration,
-    odd_part: f32,
+    /// Odd answers since the last usual one.
+    odd_row: u32,
 }
 
 impl AnswerBaseline {
     /// Learns from an answer.
     pub fn learn(&mut self, after: Duration, bytes: u32) {
         let is_odd = self.is_short(bytes) || self.is_slow(after);
-        let odd = if is_odd { 1.0 } else { 0.0 };
-        self.odd_part += (odd - self.odd_part) * ODD_WEIGHT;
-        if is_odd && self.odd_part < ODD_PART {
+        self.odd_row = if is_odd {
+            self.odd_row.saturating_add(1)
+        } else {
+            0
+        };
+        if is_odd && self.odd_row < ODD_ROW {
             return;
         }
         self.lengths.push(bytes);
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,5 +1,6 @@
 //! The decision for each packet.
 
+use crate::cookie::admission::{AdmissionChange, AdmissionGate, AdmissionSettings};
 use crate::cookie::answers::{AnswerMonitor, AnswerQuality, AnswerSample, JudgedSample};
 use crate::cookie::cold::{ColdLimiter, ColdShare};
 use crate::cookie::ends::{FlowEnd, FlowEnds};
@@ -97,6 +98,8 @@
     NoRoute,
     /// The route's services have no instance that takes new flows.
     NoInstance,
+    /// The service's instances are overloaded, and what is admitted goes to others first.
+    Overloaded,
 }
 
 /// Why an open flow is ended.
@@ -152,6 +155,7 @@
     /// Instances whose answers fail, unlike those of others.
     outliers: BTreeSet<Cookie>,
     zones: ZonePreference,
+    admission: AdmissionGate,
 }
 
 impl Forwarder {
@@ -177,6 +181,7 @@
             tallies: TallyBook::default(),
             outliers: BTreeSet::new(),
             zones: ZonePreference::new(""),
+            admission: AdmissionGate::new(AdmissionSettings::default()),
         }
     }
 
@@ -197,6 +202,15 @@
         }
     }
 
+    /// The same, admitting new flows by these settings.
+    #[must_use]
+    pub fn with_admission(self, settings: AdmissionSettings) -> Self {
+        Self {
+            admission: AdmissionGate::new(settings),
+            ..self
+        }
+    }
+
     /// The same, preferring the instances of the zone of this name for new flows; none if it is empty.
     #[must_use]
     pub fn with_zone(self, name: &str) -> Self {
@@ -236,6 +250,11 @@
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
         self.monitor.expire(now);
         self.cold.expire(now);
+        let (failed, waited) = (
+            self.monitor.failed_of_late(),
+            self.monitor.opening_timeout(),
+        );
+        self.admission.openings_failed(now, table, failed, waited);
         let is_known = |cookie| table.destination(cookie).is_some();
         self.monitor.retain(is_known);
         let judged = self.answers.review(now, table, &mut self.flows);
@@ -272,6 +291,17 @@
         services.fold(1.0, f32::max)
     }
 
+    /// What changed in the belief about services' load since the last call.
+    pub fn review_admission(&mut self, now: Timestamp) -> Vec<AdmissionChange> {
+        self.admission.review(now)
+    }
+
+    /// How much of what is offered is admitted.
+    #[must_use]
+    pub const fn admission(&self) -> &AdmissionGate {
+        &self.admission
+    }
+
     /// Instances that fail the openings of this thread.
     pub fn failing_instances(&self) -> impl Iterator<Item = Cookie> {
         self.monitor.failing_instances()
@@ -402,6 +432,7 @@
     fn note_answer(&mut self, now: Timestamp, table: &ForwardingTable, judged: &JudgedSample) {
         self.tallies.note(judged);
         self.note_sample(now, table, &judged.sample);
+        self.admission.answered(now, table, &judged.sample);
         if judged.quality == AnswerQuality::Failed {
             self.loads.count(now, judged.sample.cookie, FAILURE_WEIGHT);
         }
@@ -431,6 +462,11 @@
         let Some(part) = choose_part(&route.parts, flow_hash) else {
             return Decision::Refuse(RefusalReason::NoInstance);
         };
+        let terms = &route.terms;
+        let admission = &mut self.admission;
+        if !admission.admits(now, table, packet, attempt, part.service, terms) {
+            return Decision::Refuse(RefusalReason::Overloaded);
+        }
         self.zones.adopt(table);
         self.zones.review_outcomes(now);
         let tries = route.terms.kind.may_repeat() && tries_outliers(flow_hash);
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -9,14 +9,16 @@
 //!
 //! Like the rest of the crate nothing here has a socket, clock or thread:
 //!
-//! * one packet: [`packet`] and [`forwarder`], with [`flows`] seen of late and the [`answers`] to their requests, [`placement`] of new flows, [`locality`] that prefers the own zone, the limit of [`cold`] instances,
-//!   [`load`] and [`health`] of
-//!   instances from the progress of openings, [`outliers`] by their answers, [`reachability`] of those in question by probes;
+//! * one packet: [`packet`] and [`forwarder`], with [`flows`] seen of late and the [`answers`] to their requests,
+//!   [`ends`] of flows whose instances have ended, [`admission`] and [`placement`] of new flows, [`locality`] that
+//!   prefers the own zone, the limit of [`cold`] instances, [`load`] and [`health`] of instances from the progress
+//!   of openings, [`outliers`] by their answers, [`reachability`] of those in question by probes;
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
 //!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
 //!   [`exchange`] (peers), [`capacity`] (what a machine can bear), [`coordinator`] (these together), [`stall`] and [`readiness`].
 
+pub mod admission;
 pub mod answers;
 pub mod capacity;
 pub mod cold;
--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -25,6 +25,8 @@
     RefusedNoRoute,
     /// Answered with a reset: no instance.
     RefusedNoInstance,
+    /// Answered with a reset: the service is overloaded.
+    RefusedOverloaded,
     /// The open flow was ended with a reset: its instance's address has passed to another one.
     ResetSuperseded,
     /// The open flow was ended with a reset: its instance can't be reached.
@@ -50,12 +52,13 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 17] = [
         Self::Placed,
         Self::Followed,
         Self::Held,
         Self::RefusedNoRoute,
         Self::RefusedNoInstance,
+        Self::RefusedOverloaded,
         Self::ResetSuperseded,
         Self::ResetUnreachable,
         Self::ResetResting,
@@ -78,6 +81,7 @@
             Self::Held => "held",
             Self::RefusedNoRoute => "refused_no_route",
             Self::RefusedNoInstance => "refused_no_instance",
+            Self::RefusedOverloaded => "refused_overloaded",
             Self::ResetSuperseded => "reset_superseded",
             Self::ResetUnreachable => "reset_unreachable",
             Self::ResetResting => "reset_resting",
@@ -100,6 +104,7 @@
             Decision::Follow { .. } => Self::Followed,
             Decision::Refuse(RefusalReason::NoRoute) => Self::RefusedNoRoute,
             Decision::Refuse(RefusalReason::NoInstance) => Self::RefusedNoInstance,
+            Decision::Refuse(RefusalReason::Overloaded) => Self::RefusedOverloaded,
             Decision::Reset(ResetReason::Superseded) => Self::ResetSuperseded,
             Decision::Reset(ResetReason::Unreachable) => Self::ResetUnreachable,
             Decision::Drop(DropReason::Backlog) => Self::DroppedBacklog,
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -384,6 +384,7 @@
     }
 
     fn log_health_changes(&mut self, now: Timestamp, table: &ForwardingTable) {
+        self.log_admission_changes(now);
         for change in self.forwarder.review(now, table) {
             match change {
                 HealthChange::Suspected { cookie, failures } => self.limiter.log(
@@ -400,6 +401,26 @@
         }
     }
 
+    fn log_admission_changes(&mut self, now: Timestamp) {
+        for change in self.forwarder.review_admission(now) {
+            self.limiter.log(
+                EventCode::AdmissionChanged,
+                now,
+                format_args!(
+                    "service={} overloaded={} offered={:.1} served={:.1} admitted={:.1} lost_share={:.3} sampled={} queueing={}",
+                    change.service,
+                    change.overloaded,
+                    change.offered,
+                    change.served,
+                    change.budget,
+                    change.lost_share,
+                    change.queues.sampled,
+                    change.queues.queueing,
+                ),
+            );
+        }
+    }
+
     fn log_placed(
         &mut self,
         now: Timestamp,
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -163,7 +163,8 @@
     let forwarder = Forwarder::new(HealthSettings::default())
         .with_cold_limiter(cold)
         .with_flows(settings.flows.capacity, settings.flows.end_resting)
-        .with_zone(settings.preferred_zone());
+        .with_zone(settings.preferred_zone())
+        .with_admission(settings.admission.admission());
     start_traffic_thread(
         "traffic-0".to_owned(),
         data_socket,
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of the daemon.
 
+use bellyoke_core::cookie::admission::AdmissionSettings;
 use bellyoke_core::cookie::capacity::{MachineCapacity, NodePlace, ZoneNumber};
 use bellyoke_core::cookie::cold::ColdAllowance;
 use bellyoke_core::cookie::outliers::OutlierSettings;
@@ -67,6 +68,10 @@
         "Largest part of a service's instances to which others are preferred since their answers fail or are late. With zero nodes don't report answers, and none is set aside."),
     key("placement", "own_zone_first", "", ValueKind::Switch, Literal("true"),
         "Whether new flows go to instances in the node's own zone as long as these have room. Otherwise all zones are alike."),
+    key("admission", "enabled", "", ValueKind::Switch, Literal("true"),
+        "Whether new flows are refused, the lowest priority first, while most instances of their service queue and turn requests away."),
+    key("admission", "lost_percent", "%", integer(0, 100), Literal("12"),
+        "Share of a service's requests that its instances may turn away in overload before less is admitted. With none, instances idle between two requests."),
     key("log", "format", "", ValueKind::Choice(&["text", "json"]), Literal("\"json\""),
         "Form of the log lines on standard output."),
     key("log", "level", "", ValueKind::Choice(&["error", "warn", "info", "debug", "trace"]), Literal("\"info\""),
@@ -103,6 +108,8 @@
     pub outliers: OutlierShare,
     /// Where new flows go.
     pub placement: PlacementSettings,
+    /// Which new flows are refused in overload.
+    pub admission: OverloadSettings,
     /// The log.
     pub log: LogSettings,
 }
@@ -251,6 +258,27 @@
     }
 }
 
+/// Which new flows are refused in overload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OverloadSettings {
+    /// Whether any are.
+    pub enabled: bool,
+    /// Share of requests that instances may turn away, percent.
+    pub lost_percent: u8,
+}
+
+impl OverloadSettings {
+    /// As the traffic threads take them.
+    #[must_use]
+    pub fn admission(&self) -> AdmissionSettings {
+        AdmissionSettings {
+            enabled: self.enabled,
+            lost_share: f32::from(self.lost_percent) / 100.0,
+        }
+    }
+}
+
 impl TimingSettings {
     /// How long gone instances are remembered: the longest life of a flow, and some more for
     /// packets under way.
