Learn lengths and times of answers apart, and take no dead instance for an overloaded one

Openings and requests that came to nothing at instances that never queued count for nothing: a zone that died was refused instead of left.

--- a/crates/bellyoke-core/src/cookie/admission/service.rs
+++ b/crates/bellyoke-core/src/cookie/admission/service.rs
@@ -137,7 +137,11 @@
                 }
                 queues.then_some(true)
             }
-            AnswerFate::Unanswered { .. } => Some(true),
+            // Who waits for long at an instance that queues waits in its queue. Another one may have died.
+            AnswerFate::Unanswered { .. } if self.signs.has_queued(now, sample.cookie) => {
+                Some(true)
+            }
+            AnswerFate::Unanswered { .. } => return,
         };
         self.count_answer(now, &sample.fate, queues == Some(true));
         if let Some(queues) = queues {
--- a/crates/bellyoke-core/src/cookie/answers/baseline.rs
+++ b/crates/bellyoke-core/src/cookie/answers/baseline.rs
@@ -6,8 +6,11 @@
 /// seconds. 8 bytes each.
 const REMEMBERED: usize = 64;
 
-/// Answers before anything is judged.
-const LEAST: usize = 16;
+/// Answers before anything is judged: a burst may come when a node has seen few on a rare route.
+const LEAST: usize = 4;
+
+/// Up to so many answers each is looked at.
+const FIRST_ANSWERS: usize = 16;
 
 /// Answers between two looks at those remembered.
 const REFRESH_INTERVAL: usize = 8;
@@ -68,25 +71,25 @@
     short_below: u32,
     slow_above: Duration,
     median_time: Duration,
-    /// Odd answers since the last usual one.
-    odd_row: u32,
+    /// Short answers since the last one that wasn't.
+    short_row: u32,
+    /// Slow answers since the last one that wasn't.
+    slow_row: u32,
 }
 
 impl AnswerBaseline {
     /// Learns from an answer.
     pub fn learn(&mut self, after: Duration, bytes: u32) {
-        let is_odd = self.is_short(bytes) || self.is_slow(after);
-        self.odd_row = if is_odd {
-            self.odd_row.saturating_add(1)
-        } else {
-            0
-        };
-        if is_odd && self.odd_row < ODD_ROW {
-            return;
+        let is_short = self.is_short(bytes);
+        let is_slow = self.is_slow(after);
+        if is_usual(&mut self.short_row, is_short) {
+            self.lengths.push(bytes);
+        }
+        // How soon an error comes tells nothing of answers.
+        if !is_short && is_usual(&mut self.slow_row, is_slow) {
+            let microseconds = u32::try_from(after.as_micros()).unwrap_or(u32::MAX);
+            self.times.push(microseconds);
         }
-        self.lengths.push(bytes);
-        let microseconds = u32::try_from(after.as_micros()).unwrap_or(u32::MAX);
-        self.times.push(microseconds);
         if self.lengths.is_due() {
             self.refresh();
         }
@@ -122,12 +125,21 @@
         let shortest = f64::from(lengths[SHORTEST_RANK]);
         self.short_below = (shortest * SHORT_PART).min(median * LONGEST_SHORT_PART) as u32;
         let times = self.times.sorted();
+        if times.is_empty() {
+            return;
+        }
         let median = Duration::from_micros(u64::from(times[times.len() / 2]));
         self.median_time = median;
         self.slow_above = LEAST_SLOW.max(median * SLOW_FACTOR);
     }
 }
 
+/// Whether an answer is learned: it isn't odd, or so many in a row were that they are the usual ones.
+const fn is_usual(odd_row: &mut u32, is_odd: bool) -> bool {
+    *odd_row = if is_odd { odd_row.saturating_add(1) } else { 0 };
+    !is_odd || *odd_row >= ODD_ROW
+}
+
 /// The last values of a row, the oldest overwritten first.
 #[derive(Clone, Debug, Default)]
 struct RecentValues {
@@ -146,7 +158,7 @@
     }
 
     const fn is_due(&self) -> bool {
-        self.pushed.is_multiple_of(REFRESH_INTERVAL)
+        self.pushed <= FIRST_ANSWERS || self.pushed.is_multiple_of(REFRESH_INTERVAL)
     }
 
     fn sorted(&self) -> Vec<u32> {
