--- a/crates/bellyoke-core/tests/cookie/ends.rs
+++ b/crates/bellyoke-core/tests/cookie/ends.rs
@@ -260,3 +260,24 @@
     }
     assert_eq!(forwarder.sound_instances(at(1_300)), [cookie(1), cookie(2)]);
 }
+
+/// As where the node's own link turns out to lose data, or the instance takes connections again.
+#[test]
+fn flows_that_wait_for_their_resets_are_left_once_the_verdict_has_gone() {
+    let table = table();
+    let mut forwarder = resting(&table, 50, true);
+    end(&mut forwarder, &table, 5_000);
+    assert_eq!(ends(&mut forwarder, &table, 5_000).len(), RESETS_AT_ONCE);
+    forwarder.set_unreachable(&BTreeSet::new(), &BTreeSet::new());
+    assert_eq!(ends(&mut forwarder, &table, 5_020), []);
+    let decision = forwarder.decide(at(5_030), &table, &packet(49, Some(100), 7), false);
+    assert!(matches!(decision, Decision::Follow { .. }), "{decision:?}");
+}
+
+#[test]
+fn a_node_that_stood_still_ends_no_resting_flow() {
+    let mut monitor = unreachable(Doubter::Peer);
+    assert!(!monitor.ended(at(2_000)).is_empty());
+    monitor.stalled();
+    assert!(monitor.ended(at(2_000)).is_empty());
+}
