--- a/crates/bellyoke-core/tests/cookie/ends.rs
+++ b/crates/bellyoke-core/tests/cookie/ends.rs
@@ -281,3 +281,26 @@
     monitor.stalled();
     assert!(monitor.ended(at(2_000)).is_empty());
 }
+
+#[test]
+fn an_instance_that_lived_a_moment_before_the_verdict_keeps_its_flows() {
+    let table = table();
+    let mut forwarder = resting(&table, 5, true);
+    forwarder.decide(at(4_900), &table, &packet(0, Some(100), 7), false);
+    forwarder.decide(at(4_950), &table, &packet(0, None, 60), false);
+    end(&mut forwarder, &table, 5_000);
+    assert_eq!(ends(&mut forwarder, &table, 5_000), []);
+    let decision = forwarder.decide(at(5_010), &table, &packet(1, Some(100), 7), false);
+    assert!(matches!(decision, Decision::Follow { .. }), "{decision:?}");
+}
+
+#[test]
+fn a_flow_that_has_got_something_since_it_was_queued_is_left_alone() {
+    let table = table();
+    let mut forwarder = resting(&table, 2, true);
+    end(&mut forwarder, &table, 5_000);
+    forwarder.decide(at(5_005), &table, &packet(0, None, 90), false);
+    let ends = ends(&mut forwarder, &table, 5_010);
+    let ended: Vec<_> = ends.iter().map(|end| end.flow).collect();
+    assert_eq!(ended, [flow(1)]);
+}
