Blame nobody for requests whose flows routers sent to other nodes

Cause: where nodes come or go routers spread flows anew, and a request under way on a flow that left looks unanswered. Three flows within a second that come without an opening are taken for the sign; what was asked before the third isn't judged.

--- a/crates/bellyoke-core/src/cookie/answers/monitor.rs
+++ b/crates/bellyoke-core/src/cookie/answers/monitor.rs
@@ -21,6 +21,13 @@
 /// within milliseconds; those lost come 200 ms later, so that a rare answer passes as short.
 const REST: Duration = Duration::from_millis(100);
 
+/// So many flows that come from other nodes within [`MOVE_TIME`] show that routers spread flows anew: this
+/// node's own ones have gone to others, and their answers with them.
+const MOVES: usize = 3;
+
+/// See [`MOVES`]. Resting flows that were forgotten come singly.
+const MOVE_TIME: Duration = Duration::from_secs(1);
+
 /// How an answer compares with the usual ones of its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerQuality {
@@ -48,6 +55,10 @@
     baselines: BTreeMap<(SocketAddrV4, ServiceNumber), AnswerBaseline>,
     /// Flow hashes of requests under way.
     watched: Vec<u64>,
+    /// When the last flows came from other nodes, the last one last.
+    moved_at: [Timestamp; MOVES],
+    /// When routers last spread flows anew.
+    respread_at: Timestamp,
 }
 
 impl AnswerMonitor {
@@ -71,6 +82,17 @@
         self.judge(table, record, &outcome?)
     }
 
+    /// A flow has come that opened through another node.
+    pub fn note_moved(&mut self, now: Timestamp) {
+        self.moved_at.rotate_left(1);
+        self.moved_at[MOVES - 1] = now;
+        let is_wave = now.since(self.moved_at[0]) < MOVE_TIME;
+        // Those that rested come over some seconds; what is asked meanwhile counts.
+        if is_wave && now.since(self.respread_at) >= MOVE_TIME {
+            self.respread_at = now;
+        }
+    }
+
     /// Looks at the requests under way. Returns samples of those that are overdue, and of answers that
     /// have come to rest.
     pub fn review(
@@ -89,7 +111,12 @@
                 continue;
             };
             if self.is_over(now, table, record, &outcome) {
+                let asked_at = record.request.asked_at;
                 record.request.finish(now);
+                let has_moved = asked_at.is_some_and(|asked_at| asked_at <= self.respread_at);
+                if outcome.after.is_none() && has_moved {
+                    continue;
+                }
                 judged.extend(self.judge(table, record, &outcome));
             } else {
                 self.watched.push(flow_hash);
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -420,6 +420,9 @@
         self.loads.count(now, cookie, PACKET_WEIGHT);
         let flow_hash = packet.flow.hash();
         let opened_after = self.monitor.progress(now, flow_hash, cookie);
+        if opened_after.is_none() && self.flows.get(flow_hash).is_none() {
+            self.answers.note_moved(now);
+        }
         let record = self.flows.note(now, flow_hash, packet, cookie);
         let judged = self.answers.observe(now, table, flow_hash, packet, record);
         if let Some(judged) = judged {
--- a/crates/bellyoke-core/tests/cookie/answers.rs
+++ b/crates/bellyoke-core/tests/cookie/answers.rs
@@ -290,6 +290,25 @@
     assert_eq!(watcher.take(), []);
 }
 
+#[test]
+fn flows_that_routers_sent_to_other_nodes_blame_nobody() {
+    let mut watcher = Watcher::new();
+    watcher.learn();
+    watcher.packet(&asks(900, 1, 500));
+    for _ in 0..3 {
+        watcher.pass(60);
+        watcher.monitor.note_moved(at(watcher.now));
+    }
+    watcher.pass(1_000);
+    assert_eq!(watcher.take(), []);
+    // What is asked afterwards counts again, and one forgotten flow changes nothing.
+    watcher.packet(&asks(901, 1, 500));
+    watcher.pass(50);
+    watcher.monitor.note_moved(at(watcher.now));
+    watcher.pass(600);
+    assert_eq!(watcher.take().len(), 1);
+}
+
 #[test]
 fn a_node_that_stood_still_blames_nobody() {
     let mut watcher = Watcher::new();
