Count as load only requests that got an error, none that had no answer

An error still weighs, so that an instance that fails at once draws no flows (its test); one that doesn't answer is found by its requests.

--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,6 +1,6 @@
 //! The decision for each packet.
 
-use crate::cookie::answers::{AnswerMonitor, AnswerQuality, JudgedSample};
+use crate::cookie::answers::{AnswerFate, AnswerMonitor, JudgedSample};
 use crate::cookie::cold::{ColdLimiter, ColdShare};
 use crate::cookie::flows::FlowTable;
 use crate::cookie::health::{HealthChange, HealthSettings, OpeningMonitor};
@@ -54,8 +54,8 @@
 /// Keeps the choice of flows that try outliers independent from that of the instance.
 const TRIAL_SALT: u64 = 0x6f75_746c_6965_7201;
 
-/// What a failed request counts as load, in packets: an instance that fails at once looks idle, and
-/// must not be preferred for it.
+/// What a request that got an error counts as load, in packets: an instance that fails at once looks idle,
+/// and must not be preferred for it. One without an answer may have lost a packet, and counts nothing.
 const FAILURE_WEIGHT: f32 = 16.0;
 
 /// What to do with a packet.
@@ -249,7 +249,7 @@
 
     fn note_answer(&mut self, now: Timestamp, judged: &JudgedSample) {
         self.tallies.note(judged);
-        if judged.quality == AnswerQuality::Failed {
+        if matches!(judged.sample.fate, AnswerFate::Short { .. }) {
             self.loads.count(now, judged.sample.cookie, FAILURE_WEIGHT);
         }
     }
