--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -1,7 +1,7 @@
 //! The decision for each packet.
 
 use crate::cookie::admission::{AdmissionChange, AdmissionGate, AdmissionSettings};
-use crate::cookie::answers::{AnswerMonitor, AnswerQuality, AnswerSample, JudgedSample};
+use crate::cookie::answers::{AnswerFate, AnswerMonitor, AnswerSample, JudgedSample};
 use crate::cookie::cold::{ColdLimiter, ColdShare};
 use crate::cookie::ends::{FlowEnd, FlowEnds};
 use crate::cookie::flows::FlowTable;
@@ -62,8 +62,8 @@
 /// Keeps the choice of flows that try outliers independent from that of the instance.
 const TRIAL_SALT: u64 = 0x6f75_746c_6965_7201;
 
-/// What a failed request counts as load, in packets: an instance that fails at once looks idle, and
-/// must not be preferred for it.
+/// What a request that got an error counts as load, in packets: an instance that fails at once looks idle,
+/// and must not be preferred for it. One without an answer may have lost a packet, and counts nothing.
 const FAILURE_WEIGHT: f32 = 16.0;
 
 /// What to do with a packet.
@@ -433,7 +433,7 @@
         self.tallies.note(judged);
         self.note_sample(now, table, &judged.sample);
         self.admission.answered(now, table, &judged.sample);
-        if judged.quality == AnswerQuality::Failed {
+        if matches!(judged.sample.fate, AnswerFate::Short { .. }) {
             self.loads.count(now, judged.sample.cookie, FAILURE_WEIGHT);
         }
     }
@@ -612,15 +612,22 @@
         }
     }
 
-    /// Remembers the flow, unless this packet ends it, and sees what became of its requests.
+    /// Remembers the flow, unless this packet ends it, and sees what became of its requests. `is_opened` tells
+    /// whether this is its first packet after the opening; of another one a request is news only if the flow
+    /// has moved here from another node.
     fn note_flow(
         &mut self,
         now: Timestamp,
         table: &ForwardingTable,
         packet: &FlowPacket,
         cookie: Cookie,
+        is_opened: bool,
     ) {
         let flow_hash = packet.flow.hash();
+        let asks = packet.data_sequence.is_some();
+        if asks && !is_opened && self.flows.get(flow_hash).is_none() {
+            self.answers.note_moved(now);
+        }
         let record = self.flows.note(now, flow_hash, packet, cookie);
         let judged = self.answers.observe(now, table, flow_hash, packet, record);
         if let Some(judged) = judged {
@@ -683,7 +690,7 @@
             self.flows.remove(packet.flow.hash());
             return Decision::Reset(ResetReason::Unreachable);
         }
-        self.note_flow(now, table, packet, cookie);
+        self.note_flow(now, table, packet, cookie, opened_after.is_some());
         self.loads.count(now, cookie, PACKET_WEIGHT);
         Decision::Follow {
             destination,
