--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -657,6 +657,20 @@
     }
 }
 
+/// The first machines of a few zones are larger, so that duties lie with them, and then they are killed.
+#[test]
+fn nodes_of_several_zones_break_nothing() {
+    let scenario = Scenario {
+        nodes: 12,
+        node_zones: 3,
+        large_nodes: 4,
+        ..release_and_roll()
+    };
+    holds(&scenario, 0.95);
+    let killed = scenario.at(9_000, Action::KillWatchers { down: ms(1_000) });
+    holds(&killed, 0.95);
+}
+
 #[test]
 fn lossy_links_break_nothing() {
     let scenario = Scenario {
