--- a/crates/bellyoke-core/src/cookie/capacity.rs
+++ b/crates/bellyoke-core/src/cookie/capacity.rs
@@ -127,20 +127,20 @@
     }
 }
 
-/// Number of a zone, from its name. Two zones with one number count as one.
+/// Key of a zone, from its name, as nodes tell it each other. Two zones with one key count as one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize,
 )]
-pub struct ZoneNumber(pub u16);
+pub struct ZoneKey(pub u16);
 
-impl ZoneNumber {
-    /// The number of a zone; zero where none is told.
+impl ZoneKey {
+    /// The key of a zone; zero where none is told.
     ///
     /// ```
-    /// use bellyoke_core::cookie::capacity::ZoneNumber;
+    /// use bellyoke_core::cookie::capacity::ZoneKey;
     ///
-    /// assert_ne!(ZoneNumber::of("cork"), ZoneNumber::of("galway"));
-    /// assert_eq!(ZoneNumber::of(""), ZoneNumber::default());
+    /// assert_ne!(ZoneKey::of("cork"), ZoneKey::of("galway"));
+    /// assert_eq!(ZoneKey::of(""), ZoneKey::default());
     /// ```
     #[must_use]
     pub fn of(name: &str) -> Self {
@@ -157,7 +157,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct NodePlace {
     /// Its zone.
-    pub zone: ZoneNumber,
+    pub zone: ZoneKey,
     /// Its class.
     pub class: CapacityClass,
 }
--- a/crates/bellyoke-core/src/cookie/exchange/asking.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/asking.rs
@@ -168,7 +168,8 @@
 
     /// How many nodes there are, as far as this one can tell: those of its own zone, and of others
     /// what their nodes count, or as many as it knows.
-    pub(super) fn estimated_nodes(&self) -> f64 {
+    #[must_use]
+    pub fn estimated_nodes(&self) -> f64 {
         let zone = self.own_zone();
         let known = self.peers.iter().count() - self.peers.count_in(zone);
         let known = f64::from(u32::try_from(known).unwrap_or(u32::MAX));
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -7,7 +7,7 @@
 use super::candidates::{WATCHERS, WatcherClaim};
 use super::outliers::OutlierMessage;
 use super::packed::PackedSnapshot;
-use crate::cookie::capacity::{NodePlace, ZoneNumber};
+use crate::cookie::capacity::{NodePlace, ZoneKey};
 use crate::cookie::delta::StateDelta;
 use crate::cookie::replica::{Snapshot, Versions};
 use lz4_flex::block::{DecompressError, compress_prepend_size, decompress, uncompressed_size};
@@ -91,7 +91,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct ZoneSize {
     /// The zone.
-    pub zone: ZoneNumber,
+    pub zone: ZoneKey,
     /// How many nodes one of its nodes took it to have.
     pub nodes: u16,
     /// How long ago, milliseconds.
@@ -127,7 +127,7 @@
     /// The sender's versions.
     pub known: Versions,
     /// The zone of the sender.
-    pub zone: ZoneNumber,
+    pub zone: ZoneKey,
 }
 
 /// A datagram of a peer.
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -40,7 +40,7 @@
 pub use peers::PeerRecord;
 pub use settings::ExchangeSettings;
 
-use crate::cookie::capacity::{NodePlace, ZoneNumber};
+use crate::cookie::capacity::{NodePlace, ZoneKey};
 use crate::cookie::freshness::FreshnessClock;
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
@@ -168,7 +168,7 @@
 
     /// The zone of a peer, if it is known.
     #[must_use]
-    pub fn zone_of(&self, peer: SocketAddrV4) -> Option<ZoneNumber> {
+    pub fn zone_of(&self, peer: SocketAddrV4) -> Option<ZoneKey> {
         self.peers.zone_of(peer)
     }
 
--- a/crates/bellyoke-core/src/cookie/exchange/peers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/peers.rs
@@ -1,7 +1,7 @@
 //! The peers that a node has heard of late.
 
 use super::message::{Heartbeat, PeerSuggestion};
-use crate::cookie::capacity::{NodePlace, ZoneNumber};
+use crate::cookie::capacity::{NodePlace, ZoneKey};
 use crate::cookie::instance::Cookie;
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
@@ -62,7 +62,7 @@
     pub(super) fn heard(
         &mut self,
         now: Timestamp,
-        own_zone: ZoneNumber,
+        own_zone: ZoneKey,
         from: SocketAddrV4,
         heartbeat: &Heartbeat,
     ) -> bool {
@@ -92,7 +92,7 @@
     pub(super) fn suggest(
         &mut self,
         now: Timestamp,
-        own_zone: ZoneNumber,
+        own_zone: ZoneKey,
         peer: &PeerSuggestion,
         known: Versions,
     ) {
@@ -147,7 +147,7 @@
     /// A peer that is alive, by its own word or another's, of the own zone if there is one.
     pub(super) fn sample_alive(
         &self,
-        zone: ZoneNumber,
+        zone: ZoneKey,
         random: &mut impl Rng,
     ) -> Option<SocketAddrV4> {
         let alive = self.records.iter();
@@ -156,12 +156,12 @@
     }
 
     /// The zone of a peer that is known.
-    pub(super) fn zone_of(&self, address: SocketAddrV4) -> Option<ZoneNumber> {
+    pub(super) fn zone_of(&self, address: SocketAddrV4) -> Option<ZoneKey> {
         self.records.get(&address).map(|record| record.place.zone)
     }
 
     /// How many peers of a zone are known.
-    pub(super) fn count_in(&self, zone: ZoneNumber) -> usize {
+    pub(super) fn count_in(&self, zone: ZoneKey) -> usize {
         let records = self.records.values();
         records.filter(|record| record.place.zone == zone).count()
     }
@@ -181,7 +181,7 @@
     /// Some peers of a zone.
     pub(super) fn sample_near(
         &self,
-        zone: ZoneNumber,
+        zone: ZoneKey,
         count: usize,
         random: &mut impl Rng,
         wanted: impl Fn(&PeerRecord) -> bool,
@@ -194,7 +194,7 @@
     /// Some peers of other zones, of as many zones as possible.
     pub(super) fn sample_far(
         &self,
-        zone: ZoneNumber,
+        zone: ZoneKey,
         count: usize,
         random: &mut impl Rng,
         wanted: impl Fn(&PeerRecord) -> bool,
@@ -202,7 +202,7 @@
         if count == 0 {
             return Vec::new();
         }
-        let mut by_zone: BTreeMap<ZoneNumber, Vec<SocketAddrV4>> = BTreeMap::new();
+        let mut by_zone: BTreeMap<ZoneKey, Vec<SocketAddrV4>> = BTreeMap::new();
         for (address, record) in &self.records {
             if record.place.zone != zone && wanted(record) {
                 by_zone.entry(record.place.zone).or_default().push(*address);
@@ -270,7 +270,7 @@
     /// told of.
     pub(super) fn newest(
         &self,
-        zone: ZoneNumber,
+        zone: ZoneKey,
         by_hearsay: bool,
         behind: &impl Fn(Versions) -> bool,
         random: &mut impl Rng,
@@ -297,7 +297,7 @@
 
     /// Makes room for a peer: one that was only suggested goes first, then one of the zone with the
     /// most, the one that was silent for longest. Whoever speaks must be known, or it is never answered.
-    fn make_room(&mut self, own_zone: ZoneNumber) {
+    fn make_room(&mut self, own_zone: ZoneKey) {
         if self.records.len() < MAXIMUM_PEERS {
             return;
         }
@@ -316,8 +316,8 @@
     }
 
     /// How much of the table each zone takes; the own one may take more.
-    fn loads(&self, own_zone: ZoneNumber) -> BTreeMap<ZoneNumber, usize> {
-        let mut loads: BTreeMap<ZoneNumber, usize> = BTreeMap::new();
+    fn loads(&self, own_zone: ZoneKey) -> BTreeMap<ZoneKey, usize> {
+        let mut loads: BTreeMap<ZoneKey, usize> = BTreeMap::new();
         for record in self.records.values() {
             let zone = record.place.zone;
             let weight = if zone == own_zone { 1 } else { OWN_ZONE_WEIGHT };
@@ -327,7 +327,7 @@
     }
 
     /// Whether a zone takes less than half of what the one with the most takes.
-    fn is_scarce(&self, own_zone: ZoneNumber, zone: ZoneNumber) -> bool {
+    fn is_scarce(&self, own_zone: ZoneKey, zone: ZoneKey) -> bool {
         let loads = self.loads(own_zone);
         let most = loads.values().max().copied().unwrap_or_default();
         loads.get(&zone).copied().unwrap_or_default() * 2 < most
@@ -336,7 +336,7 @@
 
 /// One of some peers to fetch from: of the own zone if one is there, more likely one that can bear more.
 fn choose_source<'a>(
-    zone: ZoneNumber,
+    zone: ZoneKey,
     peers: impl Iterator<Item = (&'a SocketAddrV4, &'a PeerRecord)>,
     random: &mut impl Rng,
 ) -> Option<(SocketAddrV4, Versions)> {
--- a/crates/bellyoke-core/src/cookie/exchange/receivers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/receivers.rs
@@ -7,7 +7,7 @@
 
 use super::peers::PeerRecord;
 use super::{Exchange, Heartbeat};
-use crate::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
+use crate::cookie::capacity::{CapacityClass, NodePlace, ZoneKey};
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
 use rand::RngExt;
@@ -33,11 +33,11 @@
 
 impl Exchange {
     /// The number of the zone that this node tells that it stands in.
-    pub(super) const fn own_zone(&self) -> ZoneNumber {
+    pub(super) const fn own_zone(&self) -> ZoneKey {
         if self.settings.own_zone_first {
             self.place.zone
         } else {
-            ZoneNumber(0)
+            ZoneKey(0)
         }
     }
 
@@ -99,7 +99,7 @@
     /// How likely a round goes to a seed as well.
     fn seed_chance(&self, seed: SocketAddrV4) -> f64 {
         let zone = self.own_zone();
-        let is_near = zone == ZoneNumber(0) || self.peers.zone_of(seed) == Some(zone);
+        let is_near = zone == ZoneKey(0) || self.peers.zone_of(seed) == Some(zone);
         if is_near {
             SEED_CHANCE
         } else {
--- a/crates/bellyoke-core/src/cookie/exchange/zone_sizes.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/zone_sizes.rs
@@ -4,7 +4,7 @@
 //! tells the others, with the age of the count; the youngest that is known of each zone counts.
 
 use super::message::{Heartbeat, ZoneSize};
-use crate::cookie::capacity::ZoneNumber;
+use crate::cookie::capacity::ZoneKey;
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,12 +19,12 @@
 #[derive(Debug, Default)]
 pub(super) struct ZoneSizes {
     /// Nodes, and when they were counted.
-    counts: BTreeMap<ZoneNumber, (u16, Timestamp)>,
+    counts: BTreeMap<ZoneKey, (u16, Timestamp)>,
 }
 
 impl ZoneSizes {
     /// Notes how many nodes a zone had at a time.
-    pub(super) fn note(&mut self, zone: ZoneNumber, nodes: u16, counted_at: Timestamp) {
+    pub(super) fn note(&mut self, zone: ZoneKey, nodes: u16, counted_at: Timestamp) {
         let held = self.counts.entry(zone).or_insert((nodes, counted_at));
         if counted_at >= held.1 {
             *held = (nodes, counted_at);
@@ -43,7 +43,7 @@
     }
 
     /// Nodes of all zones but one.
-    pub(super) fn nodes_outside(&self, own: ZoneNumber) -> f64 {
+    pub(super) fn nodes_outside(&self, own: ZoneKey) -> f64 {
         let others = self.counts.iter().filter(|(zone, _)| **zone != own);
         others.map(|(_, (nodes, _))| f64::from(*nodes)).sum()
     }
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/forwarder/ending.rs
@@ -0,0 +1,114 @@
+//! Which instances live, and the flows that end since theirs doesn't.
+
+use super::{Forwarder, ResetReason};
+use crate::cookie::ends::FlowEnd;
+use crate::cookie::instance::Cookie;
+use crate::cookie::placement::mix;
+use crate::cookie::table::ForwardingTable;
+use crate::time::Timestamp;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// An instance in question that showed life so lately lives: a question is raised 150 ms after a death at
+/// the soonest, and takes 200 ms more to become one of peers.
+const OBJECTION_WINDOW: Duration = Duration::from_millis(300);
+
+/// An instance that showed life so lately isn't dead, whatever probes say. Longer than a flow is silent
+/// whose data was lost twice (200 and 400 ms); a verdict takes about as long after a death.
+const LIFE_LIFETIME: Duration = Duration::from_millis(1_000);
+
+impl Forwarder {
+    /// Instances whose death is established, and to which no peer has objected: their flows end.
+    pub fn set_ended(&mut self, ended: &BTreeSet<Cookie>) {
+        if self.ended != *ended {
+            self.ended.clone_from(ended);
+        }
+    }
+
+    /// The instances among those in question that showed life a moment ago.
+    #[must_use]
+    pub fn living(&self, now: Timestamp, questioned: &BTreeSet<Cookie>) -> Vec<Cookie> {
+        let living = questioned.iter().copied();
+        living
+            .filter(|cookie| self.alive_within(now, *cookie, OBJECTION_WINDOW))
+            .collect()
+    }
+
+    /// The next resting flow to reset now; none if none is due.
+    pub fn next_end(&mut self, now: Timestamp, table: &ForwardingTable) -> Option<FlowEnd> {
+        self.ends.next_at()?;
+        let mut ends = std::mem::take(&mut self.ends);
+        let end = ends.next(now, &self.flows, |cookie| self.end_of(now, table, cookie));
+        self.ends = ends;
+        if let Some(end) = &end {
+            self.flows.remove(end.flow.hash());
+        }
+        end
+    }
+
+    /// When [`Self::next_end`] has something to do; none if no flow waits to be reset.
+    #[must_use]
+    pub fn next_end_at(&self) -> Option<Timestamp> {
+        self.ends.next_at()
+    }
+
+    /// Flows remembered.
+    #[must_use]
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(super) fn review_ends(&mut self, now: Timestamp, table: &ForwardingTable) {
+        if self.ends_resting {
+            let ended = self.ended.iter().chain(table.superseded()).copied();
+            self.ends.review(now, ended, &self.flows);
+        }
+    }
+
+    /// Why the flows of an instance end; none if they don't.
+    fn end_of(
+        &self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        cookie: Cookie,
+    ) -> Option<ResetReason> {
+        if table.is_superseded(cookie) {
+            return Some(ResetReason::Superseded);
+        }
+        self.has_ended(now, cookie)
+            .then_some(ResetReason::Unreachable)
+    }
+
+    pub(super) fn has_ended(&self, now: Timestamp, cookie: Cookie) -> bool {
+        self.ended.contains(&cookie) && self.is_unreachable(cookie) && !self.is_alive(now, cookie)
+    }
+
+    pub(super) fn is_unreachable(&self, cookie: Cookie) -> bool {
+        self.unreachable.contains(&cookie) && !self.proven.contains(&cookie)
+    }
+
+    /// An instance has lived at `since` or later.
+    pub(super) fn lives(&mut self, since: Timestamp, cookie: Cookie) {
+        let key = life_key(cookie);
+        let known = self.alive_at.seen_at(key);
+        self.alive_at
+            .note(known.map_or(since, |known| known.max(since)), key);
+        let avoided = self.avoided.get(&cookie);
+        if avoided.is_some_and(|avoided_at| since > *avoided_at) {
+            self.proven.insert(cookie);
+        }
+    }
+
+    pub(super) fn is_alive(&self, now: Timestamp, cookie: Cookie) -> bool {
+        self.alive_within(now, cookie, LIFE_LIFETIME)
+    }
+
+    pub(super) fn alive_within(&self, now: Timestamp, cookie: Cookie, time: Duration) -> bool {
+        let alive_at = self.alive_at.seen_at(life_key(cookie));
+        alive_at.is_some_and(|at| now.since(at) < time)
+    }
+}
+
+fn life_key(cookie: Cookie) -> u64 {
+    mix(u64::from(cookie.bits())) | 1
+}
--- /dev/null
+++ b/crates/bellyoke-core/src/cookie/forwarder/placing.rs
@@ -0,0 +1,142 @@
+//! Where new flows go.
+
+use super::{Decision, DropReason, Forwarder, RECENTLY_GONE, RefusalReason};
+use crate::cookie::cold::ColdShare;
+use crate::cookie::instance::Cookie;
+use crate::cookie::load::OPENING_WEIGHT;
+use crate::cookie::locality::ZoneCapacity;
+use crate::cookie::packet::FlowPacket;
+use crate::cookie::placement::{Suitability, choose_by_zone, choose_part, mix};
+use crate::cookie::table::{Candidate, ForwardingTable, ServicePart};
+use crate::time::Timestamp;
+
+/// One of so many flows that may be repeated goes to an outlier as if it were none, to try it. With a third of
+/// a service set aside that is an eighth of what they had.
+const TRIAL_INTERVAL: u64 = 32;
+
+/// Keeps the choice of flows that try outliers independent from that of the instance.
+const TRIAL_SALT: u64 = 0x6f75_746c_6965_7201;
+
+impl Forwarder {
+    pub(super) fn open(
+        &mut self,
+        now: Timestamp,
+        table: &ForwardingTable,
+        packet: &FlowPacket,
+        attempt: u32,
+    ) -> Decision {
+        if !table.is_informed() {
+            return Decision::Drop(DropReason::NotReady);
+        }
+        let flow_hash = packet.flow.hash();
+        let Some(route) = table.route(packet.flow.service) else {
+            return Decision::Refuse(RefusalReason::NoRoute);
+        };
+        let Some(part) = choose_part(&route.parts, flow_hash) else {
+            return Decision::Refuse(RefusalReason::NoInstance);
+        };
+        let terms = &route.terms;
+        let admission = &mut self.admission;
+        if !admission.admits(now, table, packet, attempt, part.service, terms) {
+            return Decision::Refuse(RefusalReason::Overloaded);
+        }
+        self.zones.adopt(table);
+        self.zones.review_outcomes(now);
+        let tries = route.terms.kind.may_repeat() && tries_outliers(flow_hash);
+        let chosen = self.choose(now, table, part, flow_hash, attempt, tries);
+        let Some((chosen, suitability)) = chosen else {
+            return Decision::Refuse(RefusalReason::NoInstance);
+        };
+        let destination = chosen.destination();
+        if now < chosen.warm_at {
+            self.cold.opened(now, chosen.id);
+        }
+        self.monitor.opening(now, flow_hash, destination.cookie);
+        self.loads.count(now, destination.cookie, OPENING_WEIGHT);
+        Decision::Place {
+            destination,
+            suitability,
+        }
+    }
+
+    /// The instance for copy `attempt` of an opening, and what speaks for it; none if no candidate may
+    /// get the flow.
+    fn choose<'table>(
+        &mut self,
+        now: Timestamp,
+        table: &'table ForwardingTable,
+        part: &ServicePart,
+        flow_hash: u64,
+        attempt: u32,
+        tries_outliers: bool,
+    ) -> Option<(&'table Candidate, Suitability)> {
+        let candidates = table.candidates(part);
+        // All instances of a service bear the same while they are cold.
+        let cold_flows = candidates.first()?.cold_flows_per_minute;
+        let share = self.cold.share(cold_flows);
+        let mut capacity = ZoneCapacity::default();
+        let suitability = |candidate: &Candidate| {
+            let suitability = self.suitability(now, candidate, share)?;
+            capacity.add(candidate, suitability, self.zones.own());
+            let is_tried = tries_outliers && suitability == Suitability::Outlier;
+            Some(if is_tried {
+                Suitability::Full
+            } else {
+                suitability
+            })
+        };
+        let ranks = self.zones.ranks(part.service, flow_hash);
+        let load = |candidate: &Candidate| {
+            // A dead instance is idle too, but not therefore to be preferred.
+            if self.monitor.is_doubted(candidate.cookie) {
+                f32::INFINITY
+            } else {
+                self.loads.load(now, candidate.cookie)
+            }
+        };
+        let zone_rank = |candidate: &Candidate| ranks.of(candidate.zone);
+        let chosen = choose_by_zone(candidates, flow_hash, attempt, suitability, zone_rank, load)?;
+        let suitability = self.suitability(now, chosen, share)?;
+        self.zones
+            .placed(now, part.service, flow_hash, chosen.zone, capacity);
+        Some((chosen, suitability))
+    }
+
+    /// How willing a candidate is to take a flow at `now`; none if it must not get one. `share` is this
+    /// node's part in what cold instances get.
+    fn suitability(
+        &self,
+        now: Timestamp,
+        candidate: &Candidate,
+        share: Option<ColdShare>,
+    ) -> Option<Suitability> {
+        let is_cold = now < candidate.warm_at;
+        if is_cold && !self.cold.admits(now, candidate.id, share) {
+            return None;
+        }
+        if let Some(gone_at) = candidate.gone_at {
+            return (now.since(gone_at) < RECENTLY_GONE).then_some(Suitability::RecentlyGone);
+        }
+        let cookie = candidate.cookie;
+        if self.is_avoided(cookie) || self.monitor.is_suspected(now, cookie) {
+            return Some(Suitability::Suspected);
+        }
+        if self.outliers.contains(&cookie) {
+            return Some(Suitability::Outlier);
+        }
+        Some(if is_cold {
+            Suitability::Cold
+        } else {
+            Suitability::Full
+        })
+    }
+
+    fn is_avoided(&self, cookie: Cookie) -> bool {
+        self.avoided.contains_key(&cookie) && !self.proven.contains(&cookie)
+    }
+}
+
+/// Whether a flow tries an outlier as if it were none.
+const fn tries_outliers(flow_hash: u64) -> bool {
+    mix(flow_hash ^ TRIAL_SALT).is_multiple_of(TRIAL_INTERVAL)
+}
--- a/crates/bellyoke-core/src/cookie/locality.rs
+++ b/crates/bellyoke-core/src/cookie/locality.rs
@@ -162,9 +162,9 @@
         }
     }
 
-    /// How many other nodes this one hears of.
-    pub fn set_peers(&mut self, peers: u64) {
-        self.nodes = peers as f32 + 1.0;
+    /// How many nodes there are about; zero if that isn't known.
+    pub fn set_nodes(&mut self, nodes: u64) {
+        self.nodes = nodes as f32;
     }
 
     /// The node's own zone; none if no instance stands in it.
--- a/crates/bellyoke-core/tests/cookie/cluster.rs
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -1,7 +1,7 @@
 //! Nodes that gossip in virtual time.
 
 use crate::support::{TOMBSTONE_LIFETIME, at, configuration, record};
-use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
+use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneKey};
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, PeerDatagram, PeerKey, PeerSuggestion, StoreDuty,
@@ -46,7 +46,7 @@
 impl Layout {
     fn place(self, number: usize) -> NodePlace {
         NodePlace {
-            zone: ZoneNumber(u16::try_from(number % self.zones).unwrap()),
+            zone: ZoneKey(u16::try_from(number % self.zones).unwrap()),
             class: CapacityClass::new(if number < self.large { 3 } else { 1 }),
         }
     }
--- a/crates/bellyoke-core/tests/cookie/exchange_zones.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -2,7 +2,7 @@
 
 use crate::cluster::{Cluster, Layout, ONE_ZONE, TICK, address, watched, watched_in, zone_of};
 use crate::support::at;
-use bellyoke_core::cookie::capacity::{CapacityClass, MachineCapacity, NodePlace, ZoneNumber};
+use bellyoke_core::cookie::capacity::{CapacityClass, MachineCapacity, NodePlace, ZoneKey};
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, StoreDuty, WATCHERS,
 };
@@ -282,7 +282,7 @@
         peers_know: false,
         confirmed_age_milliseconds: None,
         place: NodePlace {
-            zone: ZoneNumber(zone),
+            zone: ZoneKey(zone),
             class,
         },
         claims: Vec::new(),
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -1,7 +1,7 @@
 //! Nothing that a peer sends is trusted.
 
 use crate::support::{at, configuration, node, of_service, record};
-use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
+use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneKey};
 use bellyoke_core::cookie::exchange::{
     DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
     MAXIMUM_HEARTBEAT_LENGTH, Objection, PeerDatagram, PeerKey, PeerSuggestion, Question,
@@ -16,7 +16,7 @@
 fn heartbeat(peers: u8) -> Heartbeat {
     let address = |last| SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7_000);
     let place = NodePlace {
-        zone: ZoneNumber(u16::MAX),
+        zone: ZoneKey(u16::MAX),
         class: CapacityClass::LARGEST,
     };
     Heartbeat {
@@ -47,7 +47,7 @@
             .collect(),
         zones: (0..8)
             .map(|zone| ZoneSize {
-                zone: ZoneNumber(zone),
+                zone: ZoneKey(zone),
                 nodes: u16::MAX,
                 age_milliseconds: u32::MAX,
             })
@@ -213,7 +213,7 @@
     let key = PeerKey::new([7; 32]);
     let request = FetchRequest {
         known: heartbeat(0).versions,
-        zone: ZoneNumber(u16::MAX),
+        zone: ZoneKey(u16::MAX),
     };
     let bytes = request.encode(&key).unwrap();
     assert_eq!(FetchRequest::decode(&bytes, &key), Ok(request));
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -3,7 +3,7 @@
 use super::link::LinkSettings;
 use super::router::RouterHash;
 use super::store::StoreMode;
-use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneNumber};
+use bellyoke_core::cookie::capacity::{CapacityClass, NodePlace, ZoneKey};
 use bellyoke_core::cookie::exchange::ExchangeSettings;
 use bellyoke_core::cookie::route::{Configuration, Route, RouteTerms, WeightedService};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -237,7 +237,7 @@
             CapacityClass::LEAST
         };
         NodePlace {
-            zone: ZoneNumber::of(&zone_name(node % self.node_zones.max(1))),
+            zone: ZoneKey::of(&zone_name(node % self.node_zones.max(1))),
             class,
         }
     }
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -3,7 +3,7 @@
 use super::super::metrics::{AnswerLabels, PeerBytesLabels, ProbeLabels};
 use super::Control;
 use bellyoke_api::event_code::EventCode;
-use bellyoke_core::cookie::capacity::ZoneNumber;
+use bellyoke_core::cookie::capacity::ZoneKey;
 use bellyoke_core::cookie::exchange::StoreDuty;
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::outliers::{InstanceTally, OutlierChange};
@@ -88,7 +88,7 @@
     }
 
     /// Counts bytes that go to a zone, if that is known.
-    pub fn count_sent_to(&self, kind: &'static str, zone: Option<ZoneNumber>, length: usize) {
+    pub fn count_sent_to(&self, kind: &'static str, zone: Option<ZoneKey>, length: usize) {
         let own = self.coordinator.exchange().place().zone;
         let to = match zone {
             None => "unknown",
@@ -249,9 +249,10 @@
             .exchange()
             .peers()
             .filter(|(_, peer)| peer.heard);
-        let heard = heard.count() as u64;
-        self.shared.peers.store(heard, Ordering::Relaxed);
-        set(&metrics.peers, u128::from(heard));
+        set(&metrics.peers, heard.count() as u128);
+        let nodes = self.coordinator.exchange().estimated_nodes();
+        let nodes = nodes.round() as u64;
+        self.shared.estimated_nodes.store(nodes, Ordering::Relaxed);
         let instances = self.coordinator.replica().directory().instances();
         set(&metrics.instances, instances.count() as u128);
         let unreachable = self.shared.unreachable.load().len();
--- a/crates/bellyoke-node/src/process/settings.rs
+++ b/crates/bellyoke-node/src/process/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of the daemon.
 
 use bellyoke_core::cookie::admission::AdmissionSettings;
-use bellyoke_core::cookie::capacity::{MachineCapacity, NodePlace, ZoneNumber};
+use bellyoke_core::cookie::capacity::{MachineCapacity, NodePlace, ZoneKey};
 use bellyoke_core::cookie::cold::ColdAllowance;
 use bellyoke_core::cookie::outliers::OutlierSettings;
 use bellyoke_process::log::LogSettings;
@@ -320,7 +320,7 @@
     #[must_use]
     pub fn place(&self) -> NodePlace {
         NodePlace {
-            zone: ZoneNumber::of(&self.node.zone),
+            zone: ZoneKey::of(&self.node.zone),
             class: self.machine.capacity().class(),
         }
     }
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -40,8 +40,8 @@
     pub nodes: AtomicU64,
     /// Whether what the traffic thread sends is paced, since the link carries no more.
     pub link_paced: AtomicBool,
-    /// How many other nodes this one hears of, for the traffic thread.
-    pub peers: AtomicU64,
+    /// How many nodes there are about, for the traffic thread.
+    pub estimated_nodes: AtomicU64,
     /// Instances at which the traffic thread's openings completed a moment ago.
     pub sound: ArcSwap<Vec<Cookie>>,
     /// Instances whose answers fail, for the traffic thread.
@@ -74,7 +74,7 @@
             ended: ArcSwap::default(),
             in_question: ArcSwap::default(),
             living: ArcSwap::default(),
-            peers: AtomicU64::new(0),
+            estimated_nodes: AtomicU64::new(0),
             sound: ArcSwap::default(),
             outliers: ArcSwap::default(),
             tallies: Mutex::default(),
