--- a/crates/bellyoke-node/src/packet/counters.rs
+++ b/crates/bellyoke-node/src/packet/counters.rs
@@ -1,6 +1,7 @@
 //! Counts of what was done with packets.
 
 use super::sender::SendOutcome;
+use bellyoke_core::cookie::admission::RequestClass;
 use bellyoke_core::cookie::forwarder::{Decision, DropReason, RefusalReason, ResetReason};
 use bellyoke_core::cookie::locality::ZonePlacements;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -144,6 +145,7 @@
     opening_seconds: Histogram,
     link: LinkGauges,
     zones: ZoneGauges,
+    admission: AdmissionMetrics,
 }
 
 /// Where openings went, and how evenly.
@@ -159,6 +161,48 @@
     zone: &'static str,
 }
 
+/// Labels of what a service's overload does to its openings.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AdmissionLabels {
+    service: String,
+    priority: u32,
+    may_repeat: u32,
+}
+
+impl AdmissionLabels {
+    fn of(service: &str, class: RequestClass) -> Self {
+        Self {
+            service: service.to_owned(),
+            priority: u32::from(class.priority),
+            may_repeat: u32::from(class.may_repeat),
+        }
+    }
+}
+
+/// What is admitted and refused of each service's openings, by class.
+#[derive(Clone, Debug, Default)]
+struct AdmissionMetrics {
+    shares: Family<AdmissionLabels, Gauge<f64, AtomicU64>>,
+    refused: Family<AdmissionLabels, Counter>,
+}
+
+impl AdmissionMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        registry.register(
+            "admitted_share",
+            "Share of the openings that is admitted, by service, priority (0 goes first) and whether requests may be repeated",
+            metrics.shares.clone(),
+        );
+        registry.register(
+            "openings_refused_overloaded",
+            "Openings refused since most instances of their service queue, by the same",
+            metrics.refused.clone(),
+        );
+        metrics
+    }
+}
+
 /// What the sender believes of the node's own link.
 #[derive(Clone, Debug, Default)]
 struct LinkGauges {
@@ -223,9 +267,23 @@
             opening_seconds,
             link,
             zones: ZoneGauges::register(registry),
+            admission: AdmissionMetrics::register(registry),
         }
     }
 
+    /// The share of a service's openings of a class that is admitted.
+    pub fn show_admitted(&self, service: &str, class: RequestClass, share: f32) {
+        let labels = AdmissionLabels::of(service, class);
+        let gauge = self.admission.shares.get_or_create(&labels);
+        gauge.set(f64::from(share));
+    }
+
+    /// An opening of a class was refused since its service is overloaded.
+    pub fn refused(&self, service: &str, class: RequestClass) {
+        let labels = AdmissionLabels::of(service, class);
+        self.admission.refused.get_or_create(&labels).inc();
+    }
+
     /// Openings so far by zone, and how much busier than the mean the busiest instance is.
     pub fn show_zones(&self, placements: ZonePlacements) {
         let gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -6,7 +6,7 @@
 use super::sender::{LinkSender, SendOutcome};
 use crate::process::shared::Shared;
 use bellyoke_api::event_code::EventCode;
-use bellyoke_core::cookie::forwarder::{Decision, Forwarder};
+use bellyoke_core::cookie::forwarder::{Decision, Forwarder, RefusalReason};
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::packet::{Destination, FlowPacket, PacketCodec};
 use bellyoke_core::cookie::stall::BacklogGuard;
@@ -68,7 +68,7 @@
     guard: BacklogGuard,
     limiter: LogLimiter,
     next_review: Timestamp,
-    next_imbalance: Timestamp,
+    next_gauges: Timestamp,
     was_paced: bool,
     /// The port that clients are answered at.
     client_port: u16,
@@ -85,7 +85,7 @@
             guard: BacklogGuard::default(),
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             next_review: Timestamp::ZERO,
-            next_imbalance: Timestamp::ZERO,
+            next_gauges: Timestamp::ZERO,
             was_paced: false,
             client_port,
         }
@@ -225,7 +225,10 @@
         };
         self.shared.packets.count(outcome);
         match &decision {
-            Decision::Refuse(_) => {
+            Decision::Refuse(reason) => {
+                if *reason == RefusalReason::Overloaded {
+                    self.count_refused(&table, packet);
+                }
                 self.log_flow(EventCode::FlowRefused, now, &table, packet, outcome);
             }
             Decision::Reset(_) => {
--- a/crates/bellyoke-node/src/packet/thread/report.rs
+++ b/crates/bellyoke-node/src/packet/thread/report.rs
@@ -2,6 +2,7 @@
 
 use super::{PacketOutcome, TrafficThread};
 use bellyoke_api::event_code::EventCode;
+use bellyoke_core::cookie::admission::RequestClass;
 use bellyoke_core::cookie::ends::FlowEnd;
 use bellyoke_core::cookie::health::HealthChange;
 use bellyoke_core::cookie::packet::{Destination, FlowPacket, PacketCodec};
@@ -11,8 +12,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Time between two looks at how evenly instances are loaded, which reads the load of each.
-const IMBALANCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at how evenly instances are loaded, which reads the load of each, and at what is admitted.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl<Codec: PacketCodec> TrafficThread<Codec> {
     pub(super) fn show_link(&mut self, now: Timestamp) {
@@ -59,13 +60,28 @@
         }
         let placements = self.forwarder.zone_placements();
         self.shared.packets.show_zones(placements);
-        if now >= self.next_imbalance {
-            self.next_imbalance = now.after(IMBALANCE_INTERVAL);
+        if now >= self.next_gauges {
+            self.next_gauges = now.after(GAUGE_INTERVAL);
             let imbalance = self.forwarder.imbalance(now, table);
             self.shared.packets.show_imbalance(imbalance);
+            for (service, class, share) in self.forwarder.admission().admitted_shares() {
+                self.shared.packets.show_admitted(service, class, share);
+            }
         }
     }
 
+    /// Counts an opening that was refused since its service is overloaded.
+    pub(super) fn count_refused(&self, table: &ForwardingTable, packet: &FlowPacket) {
+        let Some(route) = table.route(packet.flow.service) else {
+            return;
+        };
+        let service = route.parts.first().map(|part| part.service.0 as usize);
+        let service = service.and_then(|number| table.services().get(number));
+        let class = RequestClass::of(&route.terms);
+        let service = service.map_or("", String::as_str);
+        self.shared.packets.refused(service, class);
+    }
+
     pub(super) fn log_health_changes(&mut self, now: Timestamp, table: &ForwardingTable) {
         self.log_admission_changes(now);
         for change in self.forwarder.review(now, table) {
