--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -15,6 +15,7 @@
 
 mod asking;
 mod candidates;
+mod doubts;
 mod effect;
 mod fetches;
 mod message;
@@ -22,6 +23,7 @@
 mod packed;
 mod peers;
 mod receivers;
+mod seal;
 mod settings;
 mod size;
 mod watching;
@@ -31,13 +33,14 @@
 pub use effect::ExchangeEffect;
 pub use fetches::FETCH_PATIENCE;
 pub use message::{
-    DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH,
-    MAXIMUM_FETCH_LENGTH, MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, Objection,
-    PeerDatagram, PeerKey, PeerSuggestion, Question, ZoneSize, decode_snapshot, encode_snapshot,
+    DeltaMessage, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH,
+    MAXIMUM_HEARTBEAT_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, Objection, PeerDatagram, PeerSuggestion,
+    Question, ZoneSize, decode_snapshot, encode_snapshot,
 };
 pub(crate) use outliers::tallies_of;
 pub use outliers::{OutlierMessage, ReportedTally};
 pub use peers::PeerRecord;
+pub use seal::{DecodeError, EncodeError, PeerKey};
 pub use settings::ExchangeSettings;
 
 use crate::cookie::capacity::{NodePlace, ZoneKey};
@@ -53,14 +56,10 @@
 use rand_chacha::ChaCha8Rng;
 use receivers::PUSHED_PEERS;
 use size::ClusterSize;
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use zone_sizes::ZoneSizes;
 
-/// Peers that must agree that an instance fails.
-const WITNESSES: usize = 2;
-
 /// Nodes that ask the store for all while nobody knows anything.
 const ASKERS: usize = 2;
 
@@ -306,63 +305,12 @@
         self.announce(now, own)
     }
 
-    /// Instances that don't complete the openings that this node sends itself. What it only
-    /// heard of is not told on, so that a suspicion ends with those who saw it.
-    pub fn set_failing(&mut self, mut failing: Vec<Cookie>) {
-        failing.truncate(Heartbeat::MAXIMUM_FAILING);
-        self.failing = failing;
-    }
-
     /// How many nodes there are, rather too many than too few.
     #[must_use]
     pub fn nodes_at_most(&self, now: Timestamp) -> f64 {
         self.size.at_most(now)
     }
 
-    /// Passes on that some instances are in question, so that all nodes find out at once.
-    pub fn ask_peers(&mut self, cookies: &[Cookie]) -> Vec<ExchangeEffect> {
-        let mut effects = Vec::new();
-        for cookies in cookies.chunks(Question::MAXIMUM_COOKIES) {
-            let question = Question {
-                cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
-            };
-            let receivers = self.announce_receivers();
-            effects.extend(
-                receivers
-                    .into_iter()
-                    .map(|to| ExchangeEffect::SendQuestion {
-                        to,
-                        question: question.clone(),
-                    }),
-            );
-        }
-        effects
-    }
-
-    /// Objects to a question: some instances live.
-    pub fn tell_living(&mut self, cookies: &[Cookie]) -> Vec<ExchangeEffect> {
-        let mut effects = Vec::new();
-        for cookies in cookies.chunks(Objection::MAXIMUM_COOKIES) {
-            let objection = Objection {
-                cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
-            };
-            let receivers = self.announce_receivers();
-            let sent = receivers.into_iter().map(|to| {
-                let objection = objection.clone();
-                ExchangeEffect::SendObjection { to, objection }
-            });
-            effects.extend(sent);
-        }
-        effects
-    }
-
-    /// Instances that peers suspect. Several must agree before one counts: one alone may be
-    /// cut off from it itself.
-    #[must_use]
-    pub fn peer_suspicions(&self) -> BTreeSet<Cookie> {
-        self.peers.suspected(WITNESSES)
-    }
-
     /// The fetch from a peer has brought data, though not all yet.
     pub fn fetch_progressed(&mut self, now: Timestamp, from: SocketAddrV4) {
         let interval = self.settings.fetch_interval;
--- a/crates/bellyoke-core/src/cookie/exchange/outliers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/outliers.rs
@@ -1,8 +1,7 @@
 //! What peers tell each other of instances whose answers fail.
 
-use super::message::{
-    DecodeError, EncodeError, MAXIMUM_DATAGRAM_LENGTH, OUTLIER_KIND, PeerKey, decode, encode,
-};
+use super::message::{MAXIMUM_DATAGRAM_LENGTH, OUTLIER_KIND};
+use super::seal::{DecodeError, EncodeError, PeerKey, decode, encode};
 use super::{Exchange, ExchangeEffect};
 use crate::cookie::instance::Cookie;
 use crate::cookie::outliers::{InstanceTally, Verdicts};
--- a/crates/bellyoke-core/src/cookie/exchange/packed.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/packed.rs
@@ -5,7 +5,7 @@
 //! by number. 1,881 routes and 46 instances take 17 kB instead of 138 kB, which matters where a
 //! machine's link is thin and many nodes start at once.
 
-use super::message::{DecodeError, EncodeError};
+use super::seal::{DecodeError, EncodeError};
 use crate::cookie::delta::DirectoryDelta;
 use crate::cookie::directory::{FirstCreation, Tombstone};
 use crate::cookie::instance::{InstanceId, InstanceRecord, InstanceState};
