Pass questions and objections to another zone each time

Cause: nodes pass what peers tell of doubtful instances across zones only by chance, so that other zones heard of a death, or of an objection, a hop or two later. Ruled out for all that is pushed: changes and confirmations are frequent, and the next round makes up for them.

--- a/crates/bellyoke-core/src/cookie/exchange/doubts.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/doubts.rs
@@ -23,7 +23,7 @@
             let question = Question {
                 cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
             };
-            let receivers = self.announce_receivers();
+            let receivers = self.urgent_receivers();
             effects.extend(
                 receivers
                     .into_iter()
@@ -43,7 +43,7 @@
             let objection = Objection {
                 cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
             };
-            let receivers = self.announce_receivers();
+            let receivers = self.urgent_receivers();
             let sent = receivers.into_iter().map(|to| {
                 let objection = objection.clone();
                 ExchangeEffect::SendObjection { to, objection }
--- a/crates/bellyoke-core/src/cookie/exchange/receivers.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/receivers.rs
@@ -80,6 +80,12 @@
         self.draw_receivers(self.settings.push_fanout, PUSH_CROSSINGS, |_| true)
     }
 
+    /// Who is told of what can't wait for chance, as it is rare and ends flows: peers of the own zone, and one of another.
+    pub(super) fn urgent_receivers(&mut self) -> Vec<SocketAddrV4> {
+        let all = self.own_zone_nodes;
+        self.draw_receivers(self.settings.push_fanout, all, |_| true)
+    }
+
     fn draw_receivers(
         &mut self,
         count: usize,
--- a/crates/bellyoke-core/tests/cookie/exchange_zones.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -6,6 +6,7 @@
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, StoreDuty, WATCHERS,
 };
+use bellyoke_core::cookie::instance::{Cookie, InstanceId};
 use bellyoke_core::cookie::replica::Versions;
 use bellyoke_core::cookie::revision::Revision;
 use std::collections::BTreeSet;
@@ -322,6 +323,34 @@
     sources
 }
 
+/// Who hears of a death late goes on sending there, and who hears late that an instance lives ends its flows.
+#[test]
+fn questions_and_objections_go_to_another_zone_each_time() {
+    let class = CapacityClass::LEAST;
+    let cookie = Cookie::of(InstanceId(7));
+    for seed in 0..20 {
+        let mut exchange = lone_exchange(seed);
+        for number in 1..40 {
+            let zone = if number < 30 { 0 } else { 7 };
+            let heartbeat = heartbeat_of(zone, class, 9);
+            let from = address(number);
+            exchange.heartbeat(at(10_000), from, &heartbeat, heartbeat.versions, |_| false);
+        }
+        exchange.tick(at(10_100), Versions::default(), |_| false);
+        let is_far = |to: &SocketAddrV4| (30..40).any(|number| address(number) == *to);
+        let questions = exchange.ask_peers(&[cookie]).into_iter();
+        let asked = questions.filter(
+            |effect| matches!(effect, ExchangeEffect::SendQuestion { to, .. } if is_far(to)),
+        );
+        assert_eq!(asked.count(), 1, "seed {seed}");
+        let objections = exchange.tell_living(&[cookie]).into_iter();
+        let told = objections.filter(
+            |effect| matches!(effect, ExchangeEffect::SendObjection { to, .. } if is_far(to)),
+        );
+        assert_eq!(told.count(), 1, "seed {seed}");
+    }
+}
+
 #[test]
 fn the_own_zone_is_asked_first_and_others_when_it_fails() {
     let class = CapacityClass::LEAST;
