Take a target that starts again under its id for a new one, and entries of other writers for none

A target may start again under its id, holding nothing of before, and tells its start in 'born'; entries may come from another writer. The directory kept what it held of the earlier run (verdicts, outliers, loads, first creation), a late write of it would have gone over the later one, and an entry that couldn't be read any more left the target that it told of before in use. One entry whose bytes aren't UTF-8 cost the whole list.

Change: records carry the start of their run; a write of an earlier run changes nothing, a later run drops what was held. Each entry of a list or watch is read by itself; one that lacks a documented field or has one of another type, state or address names no target, is counted, logged once by name, and ends what it told before.

--- a/crates/bellyoke-core/benches/control.rs
+++ b/crates/bellyoke-core/benches/control.rs
@@ -143,6 +143,7 @@
         cold_remaining_milliseconds: 0,
         created: Some(Revision(u64::from(number))),
         slots: 2,
+        started: None,
     }
 }
 
--- a/crates/bellyoke-core/benches/cookie.rs
+++ b/crates/bellyoke-core/benches/cookie.rs
@@ -135,6 +135,7 @@
         cold_remaining_milliseconds: 0,
         created: None,
         slots: 2,
+        started: None,
     };
     let route = |service: u32| Route {
         address: service_address(service),
--- a/crates/bellyoke-core/examples/embed_cookie.rs
+++ b/crates/bellyoke-core/examples/embed_cookie.rs
@@ -27,6 +27,7 @@
         cold_remaining_milliseconds: 0,
         created: None,
         slots: 2,
+        started: None,
     }
 }
 
--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -356,6 +356,7 @@
 
     fn changed(&mut self, now: Timestamp, before: Versions, change: StateChange) -> Outcome {
         if change.directory {
+            self.forget_earlier_runs();
             self.note_records(now);
         }
         let effects = if change.any() {
--- a/crates/bellyoke-core/src/cookie/coordinator/outlying.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator/outlying.rs
@@ -57,6 +57,13 @@
     }
 }
 
+impl OutlierDuty {
+    /// Forgets what was reported of an instance that has started again.
+    pub(super) fn forget(&mut self, cookie: Cookie) {
+        self.detector.forget(cookie);
+    }
+}
+
 impl Coordinator {
     /// When an instance stands out by its answers.
     #[must_use]
--- a/crates/bellyoke-core/src/cookie/coordinator/probing.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator/probing.rs
@@ -156,6 +156,15 @@
         }
     }
 
+    /// Forgets what was found of instances that have started again since.
+    pub(super) fn forget_earlier_runs(&mut self) {
+        for id in self.replica.take_restarted() {
+            let cookie = Cookie::of(id);
+            self.reachability.forget(cookie);
+            self.outlying.forget(cookie);
+        }
+    }
+
     /// Tells the reachability monitor whose records have gone, or whose addresses passed on. It holds few instances mostly.
     pub(super) fn note_records(&mut self, now: Timestamp) {
         let held = &self.reachability;
--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -29,6 +29,8 @@
     pub gone_at: Option<Timestamp>,
     /// The revision by which its record had gone, if it has; it may have gone a little earlier.
     pub gone_revision: Revision,
+    /// Whether this node knew an earlier run of the instance.
+    pub restarted: bool,
 }
 
 /// A gone instance as nodes tell each other of it.
@@ -47,6 +49,8 @@
 pub struct FirstCreation {
     /// The instance.
     pub id: InstanceId,
+    /// The run of it that the record told of.
+    pub started: Option<u64>,
     /// The smallest creation known.
     pub created: Revision,
 }
@@ -65,6 +69,8 @@
     /// What [`Self::succeeded`] told, until something changes: asked for again with each table and each doubt, and
     /// 2 ms at 10,000 instances (`cargo bench --bench control`).
     succeeded: OnceCell<BTreeSet<InstanceId>>,
+    /// Instances that have started again since they were last asked for.
+    restarted: Vec<InstanceId>,
 }
 
 impl Directory {
@@ -79,6 +85,7 @@
             complete_since: Revision(0),
             oldest_gone_at: None,
             succeeded: OnceCell::new(),
+            restarted: Vec::new(),
         }
     }
 
@@ -178,6 +185,7 @@
             let created = known.record.created?;
             (created < known.record.revision).then_some(FirstCreation {
                 id: known.record.id,
+                started: known.record.started,
                 created,
             })
         });
@@ -187,8 +195,14 @@
     /// Hears of creations, of which the smallest of an instance counts. Returns whether any was new.
     pub fn learn_creations(&mut self, creations: impl IntoIterator<Item = FirstCreation>) -> bool {
         let mut changed = false;
-        for FirstCreation { id, created } in creations {
-            let Some(known) = self.known.get_mut(&id) else {
+        for FirstCreation {
+            id,
+            started,
+            created,
+        } in creations
+        {
+            let known = self.known.get_mut(&id);
+            let Some(known) = known.filter(|known| known.record.started == started) else {
                 continue;
             };
             let held = &mut known.record.created;
@@ -312,6 +326,7 @@
                 warm_at: gone_at,
                 gone_at: Some(gone_at),
                 gone_revision: tombstone.revision,
+                restarted: false,
             };
             self.known.insert(id, instance);
             self.note_gone(gone_at);
@@ -401,18 +416,32 @@
         changed
     }
 
+    /// Instances that have started again since the last call: what was held of their earlier runs counts no longer.
+    pub fn take_restarted(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.restarted)
+    }
+
     fn put(&mut self, now: Timestamp, mut record: InstanceRecord) -> bool {
         let cold = Duration::from_millis(u64::from(record.cold_remaining_milliseconds));
+        let mut restarted = false;
         if let Some(known) = self.known.get(&record.id) {
-            if known.gone_at.is_none() && known.record.revision >= record.revision {
+            let is_known = known.gone_at.is_none() && known.record.revision >= record.revision;
+            if is_known || is_of_earlier_run(&record, &known.record) {
                 return false;
             }
-            record.created = earlier(known.record.created, record.created);
+            restarted = is_of_earlier_run(&known.record, &record);
+            if restarted {
+                self.restarted.push(record.id);
+            } else {
+                record.created = earlier(known.record.created, record.created);
+                restarted = known.restarted;
+            }
         }
         let instance = KnownInstance {
             warm_at: now.after(cold),
             gone_at: None,
             gone_revision: Revision(0),
+            restarted,
             record,
         };
         self.known.insert(instance.record.id, instance);
@@ -436,8 +465,12 @@
                 true
             }
             (Some(known), Some(record)) => {
-                let created = earlier(known.record.created, record.created);
-                known.record = InstanceRecord { created, ..record };
+                if is_of_earlier_run(&known.record, &record) {
+                    known.record = record;
+                } else if !is_of_earlier_run(&record, &known.record) {
+                    let created = earlier(known.record.created, record.created);
+                    known.record = InstanceRecord { created, ..record };
+                }
                 known.gone_at = Some(now);
                 known.gone_revision = at;
                 true
@@ -448,6 +481,7 @@
                     warm_at: now,
                     gone_at: Some(now),
                     gone_revision: at,
+                    restarted: false,
                 };
                 self.known.insert(id, instance);
                 self.note_gone(now);
@@ -478,8 +512,12 @@
 
 impl FirstCreation {
     fn of(record: &InstanceRecord) -> Option<Self> {
-        let id = record.id;
-        record.created.map(|created| Self { id, created })
+        let (id, started) = (record.id, record.started);
+        record.created.map(|created| Self {
+            id,
+            started,
+            created,
+        })
     }
 }
 
@@ -514,6 +552,13 @@
     last.into_values().collect()
 }
 
+/// Whether a record is of an earlier run of its instance than another one. A write of an earlier run may reach the
+/// store after those of the later one.
+fn is_of_earlier_run(record: &InstanceRecord, other: &InstanceRecord) -> bool {
+    let runs = record.started.zip(other.started);
+    runs.is_some_and(|(started, other_started)| started < other_started)
+}
+
 /// The earlier of two creations, as far as they are known.
 fn earlier(one: Option<Revision>, other: Option<Revision>) -> Option<Revision> {
     match (one, other) {
--- a/crates/bellyoke-core/src/cookie/exchange/packed.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/packed.rs
@@ -86,6 +86,8 @@
     /// Zero if it isn't told.
     created: Revision,
     slots: u32,
+    /// Zero if it isn't told.
+    started: u64,
     ip: [u8; 4],
     port: u16,
     /// Number of its service's name.
@@ -322,6 +324,7 @@
         cold_remaining_milliseconds: record.cold_remaining_milliseconds,
         created: record.created.unwrap_or_default(),
         slots: record.slots,
+        started: record.started.unwrap_or_default(),
         ip: record.address.ip().octets(),
         port: record.address.port(),
         service: names.name(&record.service)?,
@@ -341,6 +344,7 @@
         cold_remaining_milliseconds: packed.cold_remaining_milliseconds,
         created: (packed.created != Revision::default()).then_some(packed.created),
         slots: packed.slots,
+        started: (packed.started != 0).then_some(packed.started),
     })
 }
 
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -136,6 +136,8 @@
     outliers: BTreeSet<Cookie>,
     zones: ZonePreference,
     admission: AdmissionGate,
+    /// The restarts that are taken account of, as the table tells them.
+    restarted: Vec<(Cookie, u64)>,
 }
 
 impl Forwarder {
@@ -162,6 +164,7 @@
             outliers: BTreeSet::new(),
             zones: ZonePreference::new(""),
             admission: AdmissionGate::new(AdmissionSettings::default()),
+            restarted: Vec::new(),
         }
     }
 
@@ -228,6 +231,7 @@
     /// Looks at what has come of earlier openings, and returns what changed in the belief about
     /// instances.
     pub fn review(&mut self, now: Timestamp, table: &ForwardingTable) -> Vec<HealthChange> {
+        self.forget_earlier_runs(table);
         self.monitor.expire(now);
         self.cold.expire(now);
         let (failed, waited) = (
@@ -246,6 +250,25 @@
         self.monitor.take_changes()
     }
 
+    /// Forgets what was seen of instances that have started again since.
+    fn forget_earlier_runs(&mut self, table: &ForwardingTable) {
+        if self.restarted == table.restarted() {
+            return;
+        }
+        for restart in table.restarted() {
+            if self.restarted.binary_search(restart).is_ok() {
+                continue;
+            }
+            let cookie = restart.0;
+            self.monitor.forget(cookie);
+            self.loads.forget(cookie);
+            self.proven.remove(&cookie);
+            self.avoided.remove(&cookie);
+            self.outliers.remove(&cookie);
+        }
+        self.restarted = table.restarted().to_vec();
+    }
+
     /// Adapts which zones new flows go to, and returns the shares that changed notably.
     pub fn review_zones(&mut self, now: Timestamp) -> Vec<ShareChange> {
         self.zones.review(now)
--- a/crates/bellyoke-core/src/cookie/health.rs
+++ b/crates/bellyoke-core/src/cookie/health.rs
@@ -201,6 +201,14 @@
         self.order.clear();
     }
 
+    /// Forgets what openings told of an instance.
+    pub fn forget(&mut self, cookie: Cookie) {
+        self.failing.remove(&cookie);
+        self.succeeded_at.remove(&cookie);
+        self.failed.remove(&cookie);
+        self.pending.retain(|_, opening| opening.cookie != cookie);
+    }
+
     /// Forgets instances that `is_known` denies.
     pub fn retain(&mut self, is_known: impl Fn(Cookie) -> bool) {
         self.failing.retain(|cookie, _| is_known(*cookie));
--- a/crates/bellyoke-core/src/cookie/instance.rs
+++ b/crates/bellyoke-core/src/cookie/instance.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddrV4;
 use std::num::NonZeroU32;
 
-/// One run of one backend process. A restarted backend, or another one at the same address, is
-/// another instance, so that it inherits no flow.
+/// One backend process. Another one at the same address is another instance, so that it inherits no flow. A
+/// restarted one may keep its id: [`InstanceRecord::started`] tells its runs apart.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize,
 )]
@@ -79,6 +79,9 @@
     pub created: Option<Revision>,
     /// Requests that it works on at once; zero if that isn't told.
     pub slots: u32,
+    /// When this run of the instance started, milliseconds of the Unix epoch by its own clock; none if it doesn't
+    /// tell. A later run holds nothing of an earlier one.
+    pub started: Option<u64>,
 }
 
 /// One change of an instance's record.
--- a/crates/bellyoke-core/src/cookie/load.rs
+++ b/crates/bellyoke-core/src/cookie/load.rs
@@ -67,6 +67,11 @@
         place.counted_at = now;
     }
 
+    /// An instance has started again, with nothing to do.
+    pub fn forget(&mut self, cookie: Cookie) {
+        self.places[place_of(cookie)] = DecayingCount::default();
+    }
+
     /// How busy an instance is: packets of the last few seconds, the latest most.
     #[must_use]
     pub fn load(&self, now: Timestamp, cookie: Cookie) -> f32 {
--- a/crates/bellyoke-core/src/cookie/outliers/detector.rs
+++ b/crates/bellyoke-core/src/cookie/outliers/detector.rs
@@ -125,6 +125,11 @@
         self.evidence.clear();
     }
 
+    /// Forgets what was reported of an instance.
+    pub fn forget(&mut self, cookie: Cookie) {
+        self.evidence.remove(&cookie);
+    }
+
     /// What a node reports.
     pub fn note_report(&mut self, now: Timestamp, tallies: &[InstanceTally]) {
         self.decay(now);
--- a/crates/bellyoke-core/src/cookie/reachability/monitor.rs
+++ b/crates/bellyoke-core/src/cookie/reachability/monitor.rs
@@ -45,6 +45,8 @@
     /// Whether a peer has asked.
     by_peer: bool,
     under_way: bool,
+    /// The probe under way began at an earlier run of the instance.
+    is_void: bool,
     probed_at: Option<Timestamp>,
     unreachable_at: Option<Timestamp>,
     /// When peers were asked about it, or asked.
@@ -232,6 +234,9 @@
         let state = self.states.entry(cookie).or_default();
         let was_unreachable = state.is_unreachable(now);
         state.under_way = false;
+        if std::mem::take(&mut state.is_void) {
+            return None;
+        }
         state.probed_at = Some(now);
         let lived = state.lived_at;
         let lives = lived.is_some_and(|at| now.since(at) < QUESTION_INTERVAL);
@@ -310,6 +315,17 @@
         true
     }
 
+    /// Forgets what is held of an instance. A probe of it that is under way tells nothing.
+    pub fn forget(&mut self, cookie: Cookie) {
+        if let Some(state) = self.states.get_mut(&cookie) {
+            *state = InstanceState {
+                under_way: state.under_way,
+                is_void: state.under_way,
+                ..InstanceState::default()
+            };
+        }
+    }
+
     /// Whether an instance was ever in question.
     #[must_use]
     pub fn holds(&self, cookie: Cookie) -> bool {
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -6,7 +6,7 @@
 
 use crate::cookie::delta::{ConfigurationDelta, DirectoryDelta, StateDelta};
 use crate::cookie::directory::{Directory, FirstCreation, Tombstone};
-use crate::cookie::instance::{InstanceEvent, InstanceRecord};
+use crate::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
 use crate::cookie::revision::Revision;
 use crate::cookie::route::Configuration;
 use crate::cookie::table::ForwardingTable;
@@ -326,6 +326,11 @@
         change
     }
 
+    /// Instances that have started again since the last call.
+    pub fn take_restarted(&mut self) -> Vec<InstanceId> {
+        self.directory.take_restarted()
+    }
+
     /// Forgets what is too old to matter. Returns whether anything was.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         self.zones.expire(now);
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -88,6 +88,8 @@
     service_of: Vec<(Cookie, ServiceNumber, ZoneNumber)>,
     /// Cookies of instances whose address another one has taken over, ascending.
     superseded: Vec<Cookie>,
+    /// Instances of which an earlier run was known, with the start of this one, sorted by cookie.
+    restarted: Vec<(Cookie, u64)>,
     configuration_version: u64,
     /// Whether lists of instances and of drained zones are known, be they empty.
     has_lists: bool,
@@ -132,6 +134,7 @@
             zones: zone_names,
             destinations,
             superseded,
+            restarted: restarted(directory),
             configuration_version: configuration.map_or(0, |held| held.version),
             has_lists: directory.as_of().is_some() && zones.as_of().is_some(),
             configuration_revision: configuration
@@ -211,6 +214,12 @@
         &self.superseded
     }
 
+    /// Instances of which an earlier run was known, with the start of this one, ascending.
+    #[must_use]
+    pub fn restarted(&self) -> &[(Cookie, u64)] {
+        &self.restarted
+    }
+
     /// Cookies of all instances remembered, ascending.
     pub fn cookies(&self) -> impl Iterator<Item = Cookie> {
         self.destinations.iter().map(|(cookie, _)| *cookie)
@@ -263,6 +272,18 @@
     entries.collect()
 }
 
+/// Instances of which an earlier run was known, with the start of the last one.
+fn restarted(directory: &Directory) -> Vec<(Cookie, u64)> {
+    let restarted = directory.instances().filter(|known| known.restarted);
+    let restarted = restarted.filter_map(|known| {
+        let started = known.record.started?;
+        Some((Cookie::of(known.record.id), started))
+    });
+    let mut restarted: Vec<_> = restarted.collect();
+    restarted.sort_unstable();
+    restarted
+}
+
 /// From when on an instance works at full speed. One whose zone was restored after its record last
 /// changed may be cold though the record doesn't tell.
 fn warm_at(known: &KnownInstance, zones: &ZoneDrains, limits: Option<&ServiceLimits>) -> Timestamp {
--- a/crates/bellyoke-core/tests/cookie/support.rs
+++ b/crates/bellyoke-core/tests/cookie/support.rs
@@ -28,6 +28,7 @@
         cold_remaining_milliseconds: 0,
         created: Some(Revision(revision)),
         slots: 2,
+        started: None,
     }
 }
 
--- a/crates/bellyoke-lab/src/cookie/target.rs
+++ b/crates/bellyoke-lab/src/cookie/target.rs
@@ -62,6 +62,7 @@
             cold_remaining_milliseconds: 0,
             created: None,
             slots: u32::try_from(self.slots).unwrap_or(u32::MAX),
+            started: None,
         }
     }
 }
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -30,6 +30,7 @@
     let clock = link.control.borrow().clock();
     let mut follower = Follower::new(settings);
     let mut usable = true;
+    let mut counted_rejected = 0;
     loop {
         let (next, may_ask) = {
             let control = link.control.borrow();
@@ -58,6 +59,11 @@
         let took = clock.now().since(asked_at);
         let mut control = link.control.borrow_mut();
         count(control.metrics(), kind, &read, &answer, took);
+        let rejected = reader.rejected();
+        control
+            .metrics()
+            .objects_rejected
+            .inc_by(rejected - std::mem::replace(&mut counted_rejected, rejected));
         let update = follower.answer(clock.now(), answer, control.random());
         control.note_answered(kind, follower.is_usable());
         if follower.is_usable() != usable {
--- a/crates/bellyoke-node/src/connection/store.rs
+++ b/crates/bellyoke-node/src/connection/store.rs
@@ -21,6 +21,11 @@
         read: &Read,
         hedge: impl FnMut() -> bool,
     ) -> impl Future<Output = Answer<Self::Item, Self::Event>>;
+
+    /// How many objects were left out so far since nothing could be made of them, each as often as it was read.
+    fn rejected(&self) -> u64 {
+        0
+    }
 }
 
 /// Makes readers of a store.
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -61,6 +61,8 @@
     pub questions_sent: Counter,
     /// Questions about instances received.
     pub questions_received: Counter,
+    /// Objects of the store of which nothing could be made.
+    pub objects_rejected: Counter,
     /// Messages of what probes found sent to peers.
     pub findings_sent: Counter,
     /// Messages of what probes found received.
@@ -115,6 +117,7 @@
             heartbeats_received: Counter::default(),
             questions_sent: Counter::default(),
             questions_received: Counter::default(),
+            objects_rejected: Counter::default(),
             findings_sent: Counter::default(),
             findings_received: Counter::default(),
             objections_sent: Counter::default(),
@@ -172,6 +175,11 @@
                 "Questions about instances sent to peers",
                 &metrics.questions_sent,
             ),
+            (
+                "objects_rejected",
+                "Objects of the store of which nothing could be made, as often as they were read",
+                &metrics.objects_rejected,
+            ),
             (
                 "findings_received",
                 "Messages of what probes of instances found received",
