Review what clients wait for each 20 ms, and end their flows in the review that learns of the verdict

Cause: reviews came each 100 ms, and one learned of the verdict only after it had looked which flows end, so that a flow whose client had repeated its request ended 850 ms after it was asked (p99 of the two seconds of the fault).

--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -327,6 +327,12 @@
         failed.into_iter().collect()
     }
 
+    /// Whether a client has repeated something a moment ago: its request is late already.
+    #[must_use]
+    pub fn has_waiting_clients(&self) -> bool {
+        !self.repeated.is_empty() || !self.repeating.is_empty()
+    }
+
     /// Instances at which openings completed a moment ago, the last ones first: controls for probes of
     /// others.
     #[must_use]
--- a/crates/bellyoke-core/src/cookie/forwarder/ending.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder/ending.rs
@@ -66,7 +66,8 @@
         self.flows.len()
     }
 
-    pub(super) fn review_ends(&mut self, now: Timestamp, table: &ForwardingTable) {
+    /// Queues the flows that end by what is held of instances now.
+    pub fn review_ends(&mut self, now: Timestamp, table: &ForwardingTable) {
         self.end_unanswered(now);
         if self.ends_resting {
             let ended = self.ended.iter().chain(table.superseded()).copied();
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -35,6 +35,10 @@
 /// Time between two reviews of the openings under way.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The same while a client waits in vain: a request of 600 ms has 100 ms to spare beside the repetition that shows it
+/// (200 ms), the probes (220 ms) and its way to another instance, so that half of the usual interval counts.
+const URGENT_REVIEW_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Longest wait for a packet: resting flows are to be ended soon after their instance, and a node that gets
 /// no packets wakes up ten times a second.
 const LONGEST_WAIT: Duration = REVIEW_INTERVAL;
@@ -68,6 +72,7 @@
     guard: BacklogGuard,
     limiter: LogLimiter,
     next_review: Timestamp,
+    next_urgent_review: Timestamp,
     next_gauges: Timestamp,
     was_paced: bool,
     /// The port that clients are answered at.
@@ -85,6 +90,7 @@
             guard: BacklogGuard::default(),
             limiter: LogLimiter::with_allowance(Duration::from_secs(1), LOG_ALLOWANCE),
             next_review: Timestamp::ZERO,
+            next_urgent_review: Timestamp::ZERO,
             next_gauges: Timestamp::ZERO,
             was_paced: false,
             client_port,
@@ -140,7 +146,9 @@
     fn next_at(&self) -> Option<Timestamp> {
         let ends_at = self.forwarder.next_end_at();
         let sends_at = self.sender.next_at();
-        sends_at.into_iter().chain(ends_at).min()
+        let waiting = self.forwarder.has_waiting_clients();
+        let review_at = waiting.then_some(self.next_urgent_review);
+        sends_at.into_iter().chain(ends_at).chain(review_at).min()
     }
 
     /// Looks at what has changed, though no packet has come.
@@ -270,10 +278,12 @@
     }
 
     fn review(&mut self, now: Timestamp, table: &ForwardingTable) {
-        if now < self.next_review {
+        let is_urgent = self.forwarder.has_waiting_clients() && now >= self.next_urgent_review;
+        if now < self.next_review && !is_urgent {
             return;
         }
         self.next_review = now.after(REVIEW_INTERVAL);
+        self.next_urgent_review = now.after(URGENT_REVIEW_INTERVAL);
         self.show_link(now);
         let nodes = self.shared.nodes.load(Ordering::Relaxed);
         self.forwarder.set_nodes(nodes as f64);
@@ -284,6 +294,7 @@
         self.log_health_changes(now, table);
         self.show_zones(now, table);
         self.exchange_doubts(now);
+        self.forwarder.review_ends(now, table);
         self.exchange_answers();
         let failing: Vec<Cookie> = self.forwarder.failing_instances().collect();
         if **self.shared.failing.load() != failing {
