Give peers time to object to each fault anew

Cause: the time since when peers know of a doubt was kept from an earlier fault, so that findings of two zones would have ended resting flows at once. Test: findings::peers_have_time_to_object_each_time (failed first).

--- a/crates/bellyoke-core/src/cookie/coordinator/probing.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator/probing.rs
@@ -85,6 +85,11 @@
 
     /// Asks a peer of another zone to probe what this node couldn't reach, and another one if it doesn't confirm it.
     pub(super) fn ask_for_confirmation(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
+        if self.reachability.is_empty() {
+            return Vec::new();
+        }
+        self.reachability
+            .set_one_zone(self.exchange.stands_in_only_zone());
         let unconfirmed = self.reachability.unconfirmed(now);
         self.exchange.ask_peer(&unconfirmed)
     }
--- a/crates/bellyoke-core/src/cookie/reachability/monitor.rs
+++ b/crates/bellyoke-core/src/cookie/reachability/monitor.rs
@@ -124,9 +124,10 @@
             return false;
         }
         if !finding.reached {
+            let was_in_question = state.is_in_question(now);
             let is_news = state.peers.note(now, finding, self.one_zone);
-            if is_news {
-                state.asked_at.get_or_insert(now);
+            if is_news && !was_in_question {
+                state.asked_at = Some(now);
             }
             return is_news;
         }
--- a/crates/bellyoke-core/tests/cookie/findings.rs
+++ b/crates/bellyoke-core/tests/cookie/findings.rs
@@ -71,6 +71,18 @@
     assert!(!monitor.note_finding(at(1_600), &finding(origin(4, 7), 1_450)));
 }
 
+/// What was asked in an earlier fault is no time to object in this one.
+#[test]
+fn peers_have_time_to_object_each_time() {
+    let mut monitor = monitor();
+    for found_at in [1_000, 60_000] {
+        monitor.note_finding(at(found_at), &finding(origin(1, 5), found_at));
+        monitor.note_finding(at(found_at), &finding(origin(2, 6), found_at));
+        assert!(monitor.ended(at(found_at + 399)).is_empty(), "{found_at}");
+        assert!(!monitor.ended(at(found_at + 400)).is_empty(), "{found_at}");
+    }
+}
+
 #[test]
 fn in_one_zone_two_nodes_are_enough() {
     let mut monitor = ReachabilityMonitor::new(origin(0, 0));
