--- a/crates/bellyoke-node/src/connection/peers.rs
+++ b/crates/bellyoke-node/src/connection/peers.rs
@@ -2,14 +2,16 @@
 
 use super::patient_io::{read_patiently, write_patiently};
 use crate::process::control::Control;
+use crate::process::metrics::ControlMetrics;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::exchange::{
     DecodeError, EncodeError, ExchangeEffect, FETCH_PATIENCE, FetchRequest, Heartbeat,
-    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, Objection,
-    OutlierMessage, PeerKey, Question, ReachabilityReport, decode_snapshot, encode_snapshot,
+    MAXIMUM_DATAGRAM_LENGTH, MAXIMUM_FETCH_LENGTH, MAXIMUM_SNAPSHOT_LENGTH, PeerKey,
+    decode_snapshot, encode_snapshot,
 };
 use bellyoke_core::cookie::replica::{Snapshot, Versions};
 use bellyoke_process::log::log_event;
+use prometheus_client::metrics::counter::Counter;
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -75,12 +77,24 @@
                         self.send_heartbeat(to, &heartbeat);
                     }
                 }
-                ExchangeEffect::SendQuestion { to, question } => self.send_question(to, &question),
-                ExchangeEffect::SendFindings { to, report } => self.send_findings(to, &report),
+                ExchangeEffect::SendQuestion { to, question } => {
+                    let encode = |key: &PeerKey| question.encode(key);
+                    self.send("question", to, encode, |metrics| &metrics.questions_sent);
+                }
+                ExchangeEffect::SendFindings { to, report } => {
+                    let encode = |key: &PeerKey| report.encode(key);
+                    self.send("findings", to, encode, |metrics| &metrics.findings_sent);
+                }
                 ExchangeEffect::SendObjection { to, objection } => {
-                    self.send_objection(to, &objection);
+                    let encode = |key: &PeerKey| objection.encode(key);
+                    self.send("objection", to, encode, |metrics| &metrics.objections_sent);
+                }
+                ExchangeEffect::SendOutliers { to, message } => {
+                    let encode = |key: &PeerKey| message.encode(key);
+                    self.send("outliers", to, encode, |metrics| {
+                        &metrics.outlier_messages_sent
+                    });
                 }
-                ExchangeEffect::SendOutliers { to, message } => self.send_outliers(to, &message),
                 ExchangeEffect::Fetch { from } => {
                     tokio::task::spawn_local(fetch(self.clone(), from));
                 }
@@ -96,50 +110,24 @@
     }
 
     fn send_heartbeat(&self, to: SocketAddrV4, heartbeat: &Heartbeat) {
-        let control = self.control.borrow();
-        if let Ok(bytes) = heartbeat.encode(control.peer_key())
-            && self.socket.try_send_to(&bytes, to.into()).is_ok()
-        {
-            control.metrics().heartbeats_sent.inc();
-            control.count_sent("heartbeat", to, bytes.len());
-        }
-    }
-
-    fn send_question(&self, to: SocketAddrV4, question: &Question) {
-        let control = self.control.borrow();
-        if let Ok(bytes) = question.encode(control.peer_key())
-            && self.socket.try_send_to(&bytes, to.into()).is_ok()
-        {
-            control.metrics().questions_sent.inc();
-            control.count_sent("question", to, bytes.len());
-        }
-    }
-
-    fn send_findings(&self, to: SocketAddrV4, report: &ReachabilityReport) {
-        let control = self.control.borrow();
-        if let Ok(bytes) = report.encode(control.peer_key())
-            && self.socket.try_send_to(&bytes, to.into()).is_ok()
-        {
-            control.metrics().findings_sent.inc();
-            control.count_sent("findings", to, bytes.len());
-        }
-    }
-
-    fn send_objection(&self, to: SocketAddrV4, objection: &Objection) {
-        let control = self.control.borrow();
-        if let Ok(bytes) = objection.encode(control.peer_key())
-            && self.socket.try_send_to(&bytes, to.into()).is_ok()
-        {
-            control.metrics().objections_sent.inc();
-        }
+        let encode = |key: &PeerKey| heartbeat.encode(key);
+        self.send("heartbeat", to, encode, |metrics| &metrics.heartbeats_sent);
     }
 
-    fn send_outliers(&self, to: SocketAddrV4, message: &OutlierMessage) {
+    /// Sends a message and counts it, if the socket has room.
+    fn send(
+        &self,
+        kind: &'static str,
+        to: SocketAddrV4,
+        encode: impl FnOnce(&PeerKey) -> Result<Vec<u8>, EncodeError>,
+        counter: impl FnOnce(&ControlMetrics) -> &Counter,
+    ) {
         let control = self.control.borrow();
-        if let Ok(bytes) = message.encode(control.peer_key())
+        if let Ok(bytes) = encode(control.peer_key())
             && self.socket.try_send_to(&bytes, to.into()).is_ok()
         {
-            control.metrics().outlier_messages_sent.inc();
+            counter(control.metrics()).inc();
+            control.count_sent(kind, to, bytes.len());
         }
     }
 
