--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -146,11 +146,17 @@
     fn next_at(&self) -> Option<Timestamp> {
         let ends_at = self.forwarder.next_end_at();
         let sends_at = self.sender.next_at();
-        let waiting = self.forwarder.has_waiting_clients();
+        let waiting = self.has_waiting_clients();
         let review_at = waiting.then_some(self.next_urgent_review);
         sends_at.into_iter().chain(ends_at).chain(review_at).min()
     }
 
+    /// Whether clients wait in vain for instances. Where the node's own link is paced it may be its fault, and it acts
+    /// on nothing.
+    fn has_waiting_clients(&self) -> bool {
+        !self.was_paced && self.forwarder.has_waiting_clients()
+    }
+
     /// Looks at what has changed, though no packet has come.
     fn review_idle(&mut self) {
         let now = self.shared.clock.now();
@@ -278,7 +284,7 @@
     }
 
     fn review(&mut self, now: Timestamp, table: &ForwardingTable) {
-        let is_urgent = self.forwarder.has_waiting_clients() && now >= self.next_urgent_review;
+        let is_urgent = self.has_waiting_clients() && now >= self.next_urgent_review;
         if now < self.next_review && !is_urgent {
             return;
         }
