--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -23,6 +23,7 @@
 mod reachability;
 mod replica;
 mod restarts;
+mod spread;
 mod stall;
 mod support;
 mod zone_choice;
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/spread.rs
@@ -0,0 +1,124 @@
+//! What it costs to spread changes of instances, by the number of nodes.
+
+use crate::cluster::{Cluster, Layout, TICK, address};
+use crate::support::{at, configuration, record};
+use bellyoke_core::cookie::exchange::StoreDuty;
+use bellyoke_core::cookie::follower::Update;
+use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
+use bellyoke_core::cookie::revision::Revision;
+
+/// Instances before a service is replaced.
+const INSTANCES: u64 = 400;
+
+/// Instances that come, and as many that go, in each second.
+const REPLACED: u64 = 12;
+
+/// Seconds for which instances are replaced.
+const SECONDS: u64 = 3;
+
+/// Nodes in five zones that know some instances.
+fn cluster(nodes: usize) -> Cluster {
+    let layout = Layout {
+        zones: 5,
+        large: 0,
+        own_zone_first: true,
+    };
+    let mut cluster = Cluster::laid_out(nodes, layout);
+    cluster.store_answers = true;
+    let records: Vec<InstanceRecord> = (1..=INSTANCES).map(|id| record(id, id)).collect();
+    let at_revision = Revision(INSTANCES + 1);
+    for node in cluster.nodes.values_mut() {
+        let coordinator = &mut node.coordinator;
+        let whole = Update::Whole {
+            at: at_revision,
+            items: vec![configuration(at_revision.0, &[("till", 1)])],
+        };
+        coordinator.configurations(at(0), whole);
+        let whole = Update::Whole {
+            at: at_revision,
+            items: records.clone(),
+        };
+        coordinator.instances(at(0), whole);
+    }
+    cluster.run(5_000);
+    cluster
+}
+
+/// The store tells the nodes that watch it of a batch of changes.
+fn replace(cluster: &mut Cluster, batch: u64) -> Revision {
+    let revision = Revision(INSTANCES + 100 * (batch + 1));
+    let first = batch * REPLACED + 1;
+    let gone = (first..first + REPLACED).map(|id| InstanceEvent::Gone(InstanceId(id)));
+    let new = first + INSTANCES..first + INSTANCES + REPLACED;
+    let new = new.map(|id| InstanceEvent::Put(record(id, revision.0)));
+    let events: Vec<InstanceEvent> = gone.chain(new).collect();
+    let now = at(cluster.now);
+    let mut watchers = cluster.with_duty(StoreDuty::Reader);
+    watchers.extend(cluster.with_duty(StoreDuty::Backup));
+    for watcher in watchers {
+        let update = Update::Changes {
+            at: revision,
+            events: events.clone(),
+        };
+        let node = cluster.nodes.get_mut(&watcher).unwrap();
+        let outcome = node.coordinator.instances(now, update);
+        cluster.perform(watcher, outcome);
+    }
+    revision
+}
+
+/// What a node sends while a service is replaced.
+#[derive(Debug)]
+struct Cost {
+    /// Deltas and snapshots, bytes a node and second.
+    bytes: usize,
+    /// Datagrams of the middle and of the busiest node, a second.
+    datagrams: [usize; 2],
+    /// Nodes of a thousand that have adopted each change half a second after it.
+    adopted: usize,
+}
+
+fn cost_of_a_replacement(nodes: usize) -> Cost {
+    let mut cluster = cluster(nodes);
+    cluster.traffic.clear();
+    for node in cluster.nodes.values_mut() {
+        node.sent = 0;
+    }
+    let mut adopted = nodes;
+    for batch in 0..SECONDS {
+        let revision = replace(&mut cluster, batch);
+        cluster.run(500);
+        let knows = |number: &usize| {
+            let directory = cluster.nodes[&address(*number)].coordinator.replica();
+            directory.directory().as_of() >= Some(revision)
+        };
+        adopted = adopted.min((0..nodes).filter(knows).count());
+        cluster.run(500);
+    }
+    let bytes = ["delta", "snapshot"].map(|kind| {
+        let bytes = cluster.traffic.get(kind);
+        bytes.map_or(0, |bytes| bytes[0] + bytes[1])
+    });
+    let mut sent: Vec<usize> = cluster.nodes.values().map(|node| node.sent).collect();
+    sent.sort_unstable();
+    let seconds = usize::try_from(SECONDS).unwrap();
+    Cost {
+        bytes: bytes.iter().sum::<usize>() / nodes / seconds,
+        datagrams: [sent[nodes / 2] / seconds, sent[nodes - 1] / seconds],
+        adopted: adopted * 1_000 / nodes,
+    }
+}
+
+/// Each node tells four others once, however many there are.
+#[test]
+fn a_replaced_service_costs_a_node_as_much_in_a_large_cluster_as_in_a_small_one() {
+    assert_eq!(TICK, 50);
+    let costs = [20, 200, 1_000].map(cost_of_a_replacement);
+    let [small, _, _] = &costs;
+    for cost in &costs {
+        assert!(cost.bytes <= small.bytes * 3 / 2, "{costs:?}");
+        assert!(cost.datagrams[0] <= small.datagrams[0] * 3 / 2, "{costs:?}");
+        assert!(cost.datagrams[1] <= small.datagrams[1] * 2, "{costs:?}");
+        assert!(cost.adopted >= 990, "{costs:?}");
+    }
+}
