--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -39,6 +39,7 @@
 pub mod outliers;
 pub mod packet;
 pub mod placement;
+pub mod publication;
 pub mod reachability;
 pub mod readiness;
 pub mod replica;
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -20,6 +20,7 @@
 mod outlier_placement;
 mod outliers;
 mod placement;
+mod publication;
 mod reachability;
 mod replica;
 mod restarts;
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -13,6 +13,7 @@
 use bellyoke_core::cookie::follower::{Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
+use bellyoke_core::cookie::publication::TablePacer;
 use bellyoke_core::cookie::reachability::{ProbeBatch, ProbeOutcome};
 use bellyoke_core::cookie::readiness::{Lifecycle, Unready};
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, StateChange, Versions};
@@ -38,19 +39,6 @@
 /// Lines of one event in one second.
 const LOG_ALLOWANCE: u32 = 20;
 
-/// Least time between two tables. A table is built from all instances, so that its cost grows with them, and while a
-/// service is replaced changes come twenty times a second. A node of few instances builds one in less than a tenth
-/// of a millisecond, and tells each change at once.
-const SHORTEST_REST: Duration = Duration::from_millis(5);
-
-/// Most time between two tables: a fifteenth of the shortest time within which a change of instances must be in force.
-const LONGEST_REST: Duration = Duration::from_millis(200);
-
-/// So much longer than the building of a table took, by the clock, another one has to wait: building them takes a
-/// twentieth of what the thread gets of its processor, and a tenth where one takes 20 ms (10,000 instances on an eighth of
-/// a core).
-const PUBLICATION_RESTS: u32 = 20;
-
 /// Least time between two tellings of what peers found, beside those of each tick: all instances that are held to be
 /// unreachable are put together for each.
 const SHOWING_INTERVAL: Duration = Duration::from_millis(50);
@@ -94,9 +82,7 @@
     last_duty: StoreDuty,
     was_busy: bool,
     last_delta: Option<EncodedDelta>,
-    /// Whether the state has changed since the table was last published, and when it may be again.
-    unpublished: bool,
-    next_publication: Timestamp,
+    tables: TablePacer,
     /// When the traffic thread may next be told at once which instances can't be reached.
     next_showing: Timestamp,
 }
@@ -135,8 +121,7 @@
             last_duty: StoreDuty::Listener,
             was_busy: false,
             last_delta: None,
-            unpublished: false,
-            next_publication: Timestamp::ZERO,
+            tables: TablePacer::default(),
             next_showing: Timestamp::ZERO,
             shared,
         }
@@ -440,28 +425,15 @@
         outcome.effects
     }
 
-    /// Publishes the table after a change: at once if operators have made it, which is rare.
+    /// Publishes the table after a change, once it is due, or at once if what is published says nothing yet.
     fn note_change(&mut self, now: Timestamp, change: StateChange) {
-        self.unpublished |= change.any();
-        if change.configuration || change.zones {
-            self.next_publication = now;
-        }
-        self.publish_if_due(now);
-    }
-
-    /// Publishes the table after a change, at once if none was published a moment ago or what is published says
-    /// nothing yet, or else with what else changes until it is due.
-    fn publish_if_due(&mut self, now: Timestamp) {
-        let is_due = now >= self.next_publication || !self.shared.table.load().is_informed();
-        if !self.unpublished || !is_due {
-            return;
+        self.tables.changed(now, change);
+        let says_nothing = self.tables.is_behind() && !self.shared.table.load().is_informed();
+        if self.tables.is_due(now) || says_nothing {
+            let table = self.coordinator.replica().table();
+            self.shared.table.store(Arc::new(table));
+            self.tables.published(now, self.clock.now().since(now));
         }
-        self.unpublished = false;
-        let table = self.coordinator.replica().table();
-        self.shared.table.store(Arc::new(table));
-        let took = self.clock.now().since(now);
-        let rest = took.saturating_mul(PUBLICATION_RESTS);
-        self.next_publication = now.after(rest.clamp(SHORTEST_REST, LONGEST_REST));
     }
 
     /// Tells the traffic thread which instances can't be reached.
