Tell a withdrawn finding on no more

Cause (read, not traced): a copy of a finding that came after its withdrawal counted as news, was told on, and so was the withdrawal that came by another way, so that both went round among all nodes for three seconds.

Test: findings::a_copy_of_a_finding_that_was_withdrawn_is_no_news.

--- a/crates/bellyoke-core/src/cookie/reachability/finding.rs
+++ b/crates/bellyoke-core/src/cookie/reachability/finding.rs
@@ -50,6 +50,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PeerFindings {
     held: [Option<(Origin, Timestamp)>; 2],
+    /// When a finding was last withdrawn: copies of those before it count no longer, or all nodes would tell each other of
+    /// the finding and of its withdrawal in turn.
+    withdrawn_at: Option<Timestamp>,
 }
 
 impl PeerFindings {
@@ -57,7 +60,8 @@
     /// is none.
     pub(super) fn note(&mut self, now: Timestamp, finding: &Finding, one_zone: bool) -> bool {
         let (origin, found_at) = (finding.origin, finding.found_at);
-        if !is_fresh(now, found_at) {
+        let is_withdrawn = self.withdrawn_at.is_some_and(|at| found_at <= at);
+        if !is_fresh(now, found_at) || is_withdrawn {
             return false;
         }
         let alike = self.held.iter_mut().flatten();
@@ -91,6 +95,12 @@
                 withdrawn = true;
             }
         }
+        if withdrawn {
+            let at = self
+                .withdrawn_at
+                .map_or(finding.found_at, |at| at.max(finding.found_at));
+            self.withdrawn_at = Some(at);
+        }
         withdrawn
     }
 
--- a/crates/bellyoke-core/tests/cookie/findings.rs
+++ b/crates/bellyoke-core/tests/cookie/findings.rs
@@ -127,6 +127,24 @@
     assert!(monitor.avoided(at(12_000)).is_empty());
 }
 
+/// Else a finding and its withdrawal would go round among the nodes, each told on each time.
+#[test]
+fn a_copy_of_a_finding_that_was_withdrawn_is_no_news() {
+    let mut monitor = monitor();
+    let first = finding(origin(1, 5), 950);
+    let back = Finding {
+        reached: true,
+        ..finding(origin(1, 5), 2_000)
+    };
+    assert!(monitor.note_finding(at(1_000), &first));
+    assert!(monitor.note_finding(at(2_050), &back));
+    for now in [2_060, 2_070] {
+        assert!(!monitor.note_finding(at(now), &first));
+        assert!(!monitor.note_finding(at(now), &back));
+    }
+    assert!(monitor.note_finding(at(4_050), &finding(origin(1, 5), 4_000)));
+}
+
 /// What others found counts for nothing against what this node finds itself.
 #[test]
 fn a_node_that_reaches_an_instance_drops_what_peers_found() {
