--- a/crates/bellyoke-core/tests/cookie/cluster.rs
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -9,7 +9,7 @@
 };
 use bellyoke_core::cookie::follower::{Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
-use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId};
+use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
 use bellyoke_core::cookie::replica::{Replica, Versions};
 use bellyoke_core::cookie::revision::Revision;
 use std::collections::{BTreeMap, VecDeque};
@@ -339,3 +339,38 @@
         place: NodePlace::default(),
     }
 }
+
+/// Nodes in five zones that know some instances.
+pub fn in_five_zones(nodes: usize, instances: u64) -> Cluster {
+    let layout = Layout {
+        zones: 5,
+        large: 0,
+        own_zone_first: true,
+    };
+    let mut cluster = Cluster::laid_out(nodes, layout);
+    cluster.store_answers = true;
+    let records: Vec<InstanceRecord> = (1..=instances).map(|id| record(id, id)).collect();
+    let revision = Revision(instances + 1);
+    for node in cluster.nodes.values_mut() {
+        let coordinator = &mut node.coordinator;
+        let configuration = configuration(revision.0, &[("till", 1)]);
+        let items = vec![configuration];
+        coordinator.configurations(
+            at(0),
+            Update::Whole {
+                at: revision,
+                items,
+            },
+        );
+        let items = records.clone();
+        coordinator.instances(
+            at(0),
+            Update::Whole {
+                at: revision,
+                items,
+            },
+        );
+    }
+    cluster.run(4_000);
+    cluster
+}
