Log the store's era and answers that tell an older state than is known

The logs of both incidents show one revision twice, but neither when the store was restored nor which answers were dropped. An answer that is older than what the node knows, or a configuration that is not taken over, is logged with both positions (BE209) and counted (bellyoke_old_states_total). No decision changes.

--- a/crates/bellyoke-api/src/event_code.rs
+++ b/crates/bellyoke-api/src/event_code.rs
@@ -90,6 +90,8 @@
     ObjectRejected = 205, Warn, "An object in the store cannot be used; the rest is.";
     BalancerRegistered = 206, Info, "This node wrote its Balancer object.";
     StaleRead = 207, Warn, "The store answered with an older state than the current generation; nothing is published from it.";
+    StoreRestored = 208, Warn, "The store tells a higher era than before: it has been restored from an older copy, and counts its revisions on from there.";
+    OldStateIgnored = 209, Info, "The store told an older state than this node knows; nothing of it was taken over. The line tells both.";
     MemberJoined = 301, Info, "A peer is alive that was not known to be.";
     MemberSuspected = 302, Warn, "A peer did not answer and is suspected.";
     MemberFailed = 303, Warn, "A peer is taken for dead.";
--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -6,7 +6,7 @@
 //! revisions, so an old answer never undoes a newer one. Few nodes watch all the time
 //! ([`crate::cookie::exchange::StoreDuty`]); the others rest while these tell them enough.
 
-use crate::cookie::revision::Revision;
+use crate::cookie::revision::{Revision, StoreEra};
 use crate::time::Timestamp;
 use rand::{Rng, RngExt};
 use std::time::Duration;
@@ -135,6 +135,26 @@
     Failed,
 }
 
+/// An answer, and what it tells of the store itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply<Item, Event> {
+    /// The store's era, also of an answer that is of no use otherwise; none if nothing was answered.
+    pub era: Option<StoreEra>,
+    /// What came of the call.
+    pub answer: Answer<Item, Event>,
+}
+
+impl<Item, Event> Reply<Item, Event> {
+    /// The reply of a call that nothing was answered to.
+    #[must_use]
+    pub const fn none() -> Self {
+        Self {
+            era: None,
+            answer: Answer::Failed,
+        }
+    }
+}
+
 /// News for the node's state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Update<Item, Event> {
@@ -154,6 +174,27 @@
     },
 }
 
+impl<Item, Event> Update<Item, Event> {
+    /// The revision that it is true at.
+    #[must_use]
+    pub const fn at(&self) -> Revision {
+        match self {
+            Self::Whole { at, .. } | Self::Changes { at, .. } => *at,
+        }
+    }
+}
+
+impl<Object> Update<Object, Object> {
+    /// The last object that it tells of, where changes bring objects whole.
+    #[must_use]
+    pub fn last(&self) -> Option<&Object> {
+        match self {
+            Self::Whole { items, .. } => items.last(),
+            Self::Changes { events, .. } => events.last(),
+        }
+    }
+}
+
 #[derive(Debug)]
 enum Phase<Item> {
     Listing {
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -6,7 +6,7 @@
 use crate::process::metrics::{ControlMetrics, StoreCallLabels};
 use bellyoke_core::cookie::exchange::ExchangeEffect;
 use bellyoke_core::cookie::follower::{
-    Answer, Follower, FollowerSettings, Freshness, Next, Read, Update,
+    Answer, Follower, FollowerSettings, Freshness, Next, Read, Reply, Update,
 };
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::time::Timestamp;
@@ -54,9 +54,10 @@
         follower.asked(asked_at, &read);
         let hedge = || link.control.borrow().asks_for_all();
         let needless = || follower.is_needless(link.control.borrow().known_up_to(kind));
-        let Some(answer) = unless(needless, reader.read(&read, hedge)).await else {
+        let Some(reply) = unless(needless, reader.read(&read, hedge)).await else {
             continue;
         };
+        let Reply { era, answer } = reply;
         let took = clock.now().since(asked_at);
         let mut control = link.control.borrow_mut();
         count(control.metrics(), kind, &read, &answer, took);
@@ -65,6 +66,9 @@
             .metrics()
             .objects_rejected
             .inc_by(rejected - std::mem::replace(&mut counted_rejected, rejected));
+        if let Some(era) = era {
+            control.note_era(kind, era);
+        }
         let update = follower.answer(clock.now(), answer, control.random());
         control.note_answered(kind, follower.is_usable());
         if follower.is_usable() != usable {
--- a/crates/bellyoke-node/src/connection/http_client.rs
+++ b/crates/bellyoke-node/src/connection/http_client.rs
@@ -1,7 +1,7 @@
 //! A kept-alive HTTP/1.1 connection that notices when the other side is gone.
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -57,6 +57,17 @@
     Request(#[from] http::Error),
 }
 
+/// An answer that has come whole.
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// A connection to one address, opened when it is needed.
 #[derive(Debug)]
 pub struct HttpConnection {
@@ -80,16 +91,12 @@
     /// # Errors
     ///
     /// [`CallError`] if no answer begins within `patience`, or it breaks off.
-    pub async fn get(
-        &mut self,
-        path: &str,
-        patience: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    pub async fn get(&mut self, path: &str, patience: Duration) -> Result<HttpAnswer, CallError> {
         let sender = self.sender.take();
         let exchange = exchange(self.address, sender, path.to_owned(), patience);
-        let (sender, status, body) = exchange.await?;
+        let (sender, answer) = exchange.await?;
         self.sender = Some(sender);
-        Ok((status, body))
+        Ok(answer)
     }
 
     /// The same, but asks `hedge` now and then, while there is no answer, whether to make the call again
@@ -103,12 +110,12 @@
         path: &str,
         patience: Duration,
         hedge: impl FnMut() -> bool,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<HttpAnswer, CallError> {
         let sender = self.sender.take();
         let answered = first_answer(self.address, sender, path, patience, hedge);
-        let (sender, status, body) = answered.await?;
+        let (sender, answer) = answered.await?;
         self.sender = Some(sender);
-        Ok((status, body))
+        Ok(answer)
     }
 }
 
@@ -145,7 +152,7 @@
 }
 
 /// The connection, for the next call, and what was answered.
-type Answered = (SendRequest<Empty<Bytes>>, StatusCode, Bytes);
+type Answered = (SendRequest<Empty<Bytes>>, HttpAnswer);
 
 async fn exchange(
     address: SocketAddrV4,
@@ -155,9 +162,13 @@
 ) -> Result<Answered, CallError> {
     let begun = timeout(patience, send(address, sender, path)).await;
     let (sender, response) = begun.map_err(|_| CallError::TimedOut)??;
-    let status = response.status();
-    let body = read_body(response.into_body()).await?;
-    Ok((sender, status, body))
+    let (head, body) = response.into_parts();
+    let answer = HttpAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: read_body(body).await?,
+    };
+    Ok((sender, answer))
 }
 
 /// Sends a request, and returns its answer once that begins.
--- a/crates/bellyoke-node/src/connection/store.rs
+++ b/crates/bellyoke-node/src/connection/store.rs
@@ -1,6 +1,6 @@
 //! The store as the daemon sees it. An adapter implements these traits and decides nothing.
 
-use bellyoke_core::cookie::follower::{Answer, Read};
+use bellyoke_core::cookie::follower::{Read, Reply};
 use bellyoke_core::cookie::instance::{InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
@@ -20,7 +20,7 @@
         &mut self,
         read: &Read,
         hedge: impl FnMut() -> bool,
-    ) -> impl Future<Output = Answer<Self::Item, Self::Event>>;
+    ) -> impl Future<Output = Reply<Self::Item, Self::Event>>;
 
     /// How many objects were left out so far since nothing could be made of them, each as often as it was read.
     fn rejected(&self) -> u64 {
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -17,7 +17,7 @@
 use bellyoke_core::cookie::reachability::{ProbeBatch, ProbeOutcome};
 use bellyoke_core::cookie::readiness::{Lifecycle, Unready};
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, StateChange, Versions};
-use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::revision::{Revision, StoreEra};
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use bellyoke_core::time::Timestamp;
@@ -85,6 +85,8 @@
     tables: TablePacer,
     /// When the traffic thread may next be told at once which instances can't be reached.
     next_showing: Timestamp,
+    /// The highest era that the store has told.
+    era: StoreEra,
 }
 
 impl Control {
@@ -123,6 +125,7 @@
             last_delta: None,
             tables: TablePacer::default(),
             next_showing: Timestamp::ZERO,
+            era: StoreEra::default(),
             shared,
         }
     }
@@ -209,7 +212,12 @@
         &mut self,
         update: Update<InstanceRecord, InstanceEvent>,
     ) -> Vec<ExchangeEffect> {
+        let told = update.at();
+        let known = self.known_up_to(ObjectKind::Instances);
         let outcome = self.coordinator.instances(self.clock.now(), update);
+        if told < known {
+            self.log_old_state(ObjectKind::Instances, told, known);
+        }
         self.take(outcome, Source::Store)
     }
 
@@ -218,7 +226,11 @@
         &mut self,
         update: Update<Configuration, Configuration>,
     ) -> Vec<ExchangeEffect> {
+        let told = update.last().map(|last| (last.version, last.revision));
         let outcome = self.coordinator.configurations(self.clock.now(), update);
+        if let Some((version, revision)) = told {
+            self.log_ignored_configuration(version, revision);
+        }
         self.take(outcome, Source::Store)
     }
 
@@ -263,6 +275,23 @@
             .note_store(self.clock.now(), kind, answered);
     }
 
+    /// The store has told its era with an answer.
+    pub fn note_era(&mut self, kind: ObjectKind, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        let before = std::mem::replace(&mut self.era, era);
+        self.metrics.store_era.set(i64::from(era.0));
+        let known = self.known_up_to(kind);
+        log_event(
+            EventCode::StoreRestored,
+            format_args!(
+                "kind={} era={era} before={before} known={known}",
+                kind.name()
+            ),
+        );
+    }
+
     /// The store answers calls for a kind again, or has ceased to.
     pub fn log_store(&self, kind: ObjectKind, usable: bool) {
         let event = if usable {
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -5,10 +5,12 @@
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::capacity::ZoneKey;
 use bellyoke_core::cookie::exchange::StoreDuty;
+use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::outliers::{InstanceTally, OutlierChange};
 use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
+use bellyoke_core::cookie::revision::Revision;
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
@@ -119,6 +121,33 @@
         );
     }
 
+    /// An answer of the store was older than what this node knows.
+    pub(super) fn log_old_state(&mut self, kind: ObjectKind, told: Revision, known: Revision) {
+        self.metrics.old_states.inc();
+        self.limiter.log(
+            EventCode::OldStateIgnored,
+            self.clock.now(),
+            format_args!("kind={} told={told} known={known}", kind.name()),
+        );
+    }
+
+    /// The store has told a configuration: if it isn't the one in force, it was taken for older.
+    pub(super) fn log_ignored_configuration(&mut self, version: u64, revision: Revision) {
+        let Some(held) = self.coordinator.replica().configuration() else {
+            return;
+        };
+        if held.version == version {
+            return;
+        }
+        let line = format!(
+            "kind=configuration version={version} told={revision} held_version={} held={}",
+            held.version, held.revision
+        );
+        self.metrics.old_states.inc();
+        self.limiter
+            .log(EventCode::OldStateIgnored, self.clock.now(), line);
+    }
+
     pub(super) fn log_instances(&mut self, source: Source) {
         let directory = self.coordinator.replica().directory();
         let known = directory.len();
--- a/crates/bellyoke-node/src/process/metrics.rs
+++ b/crates/bellyoke-node/src/process/metrics.rs
@@ -63,6 +63,10 @@
     pub questions_received: Counter,
     /// Objects of the store of which nothing could be made.
     pub objects_rejected: Counter,
+    /// Answers of the store that told an older state than was known.
+    pub old_states: Counter,
+    /// The store's era; zero if it tells none.
+    pub store_era: Gauge,
     /// Messages of what probes found sent to peers.
     pub findings_sent: Counter,
     /// Messages of what probes found received.
@@ -118,6 +122,8 @@
             questions_sent: Counter::default(),
             questions_received: Counter::default(),
             objects_rejected: Counter::default(),
+            old_states: Counter::default(),
+            store_era: Gauge::default(),
             findings_sent: Counter::default(),
             findings_received: Counter::default(),
             objections_sent: Counter::default(),
@@ -180,6 +186,11 @@
                 "Objects of the store of which nothing could be made, as often as they were read",
                 &metrics.objects_rejected,
             ),
+            (
+                "old_states",
+                "Answers of the store that told an older state than was known",
+                &metrics.old_states,
+            ),
             (
                 "findings_received",
                 "Messages of what probes of instances found received",
@@ -267,6 +278,11 @@
                 "Zones whose instances take no new flows",
                 &metrics.drained_zones,
             ),
+            (
+                "store_era",
+                "How often the store has been restored, as it tells; 0 if it doesn't",
+                &metrics.store_era,
+            ),
             (
                 "configuration_version",
                 "Version of the configuration in force",
--- a/crates/bellyoke-node/tests/http_client.rs
+++ b/crates/bellyoke-node/tests/http_client.rs
@@ -46,8 +46,11 @@
         });
         let mut connection = HttpConnection::new(address);
         let answered = connection.get_hedged("/", PATIENCE, || true).await;
-        let (status, body) = answered.unwrap();
-        assert_eq!((status.as_u16(), &body[..]), (200, &b"alive"[..]));
+        let answer = answered.unwrap();
+        assert_eq!(
+            (answer.status.as_u16(), &answer.body[..]),
+            (200, &b"alive"[..])
+        );
         server.await.unwrap();
     });
 }
@@ -74,8 +77,8 @@
             }
             false
         };
-        let (_, body) = connection.get_hedged("/", PATIENCE, hedge).await.unwrap();
-        assert_eq!(&body[..], b"late");
+        let answer = connection.get_hedged("/", PATIENCE, hedge).await.unwrap();
+        assert_eq!(&answer.body[..], b"late");
         let listener = server.await.unwrap();
         let another = tokio::time::timeout(Duration::ZERO, listener.accept()).await;
         assert!(another.is_err(), "no other connection was opened");
@@ -110,8 +113,8 @@
         });
         let mut connection = HttpConnection::new(address);
         let patience = Duration::from_secs(1);
-        let (_, body) = connection.get("/", patience).await.unwrap();
-        assert_eq!(&body[..], b"abcd");
+        let answer = connection.get("/", patience).await.unwrap();
+        assert_eq!(&answer.body[..], b"abcd");
         server.await.unwrap();
     });
 }
