--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -109,6 +109,11 @@
     Store(StoreMode),
     /// The store forgets its history.
     Compact,
+    /// The store's objects are copied.
+    CopyStore,
+    /// The store, which was away, comes back from its last copy. The operator and the targets then write again what it
+    /// has lost.
+    RestoreStore,
     /// Stale reads are so much older.
     Staleness(Duration),
     /// A node loses the store, or has it back.
--- a/crates/bellyoke-lab/src/cookie/store.rs
+++ b/crates/bellyoke-lab/src/cookie/store.rs
@@ -63,6 +63,15 @@
     Zone(ZoneEvent),
 }
 
+/// The objects of the store at some moment.
+#[derive(Clone, Debug)]
+struct Copy {
+    revision: Revision,
+    instances: BTreeMap<InstanceId, InstanceRecord>,
+    configuration: Option<Configuration>,
+    drained_zones: BTreeMap<String, Revision>,
+}
+
 /// The store.
 #[derive(Debug)]
 pub struct Store {
@@ -78,6 +87,7 @@
     drained_zones: BTreeMap<String, Revision>,
     history: VecDeque<(Timestamp, Revision, Change)>,
     forgotten: Revision,
+    copy: Option<Copy>,
 }
 
 impl Default for Store {
@@ -92,6 +102,7 @@
             drained_zones: BTreeMap::new(),
             history: VecDeque::new(),
             forgotten: Revision(0),
+            copy: None,
         }
     }
 }
@@ -153,6 +164,45 @@
         }
     }
 
+    /// Copies all objects, for [`Self::restore`].
+    pub fn take_copy(&mut self) {
+        self.copy = Some(Copy {
+            revision: self.revision,
+            instances: self.instances.clone(),
+            configuration: self.configuration.clone(),
+            drained_zones: self.drained_zones.clone(),
+        });
+    }
+
+    /// Comes back from the last copy, if there is one: what was written since is lost, and revisions are
+    /// given out again.
+    pub fn restore(&mut self) {
+        let Some(copy) = self.copy.clone() else {
+            return;
+        };
+        self.revision = copy.revision;
+        self.instances = copy.instances;
+        self.configuration = copy.configuration;
+        self.drained_zones = copy.drained_zones;
+        self.compact();
+    }
+
+    /// The configuration.
+    #[must_use]
+    pub const fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_ref()
+    }
+
+    /// Names of the drained zones.
+    pub fn drained_zones(&self) -> impl Iterator<Item = &str> {
+        self.drained_zones.keys().map(String::as_str)
+    }
+
+    /// The instances that have records.
+    pub fn instances(&self) -> impl Iterator<Item = InstanceId> {
+        self.instances.keys().copied()
+    }
+
     /// Forgets all history.
     pub fn compact(&mut self) {
         self.forgotten = self.revision;
@@ -177,7 +227,9 @@
         }
         match read {
             Read::List { after, .. } => Some(self.list(kind, after.as_deref())),
-            Read::Watch { from, .. } if *from < self.forgotten => Some(history_gone(kind)),
+            Read::Watch { from, .. } if *from < self.forgotten || *from > self.revision => {
+                Some(history_gone(kind))
+            }
             Read::Watch {
                 from, freshness, ..
             } => {
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -15,11 +15,12 @@
 use bellyoke_core::cookie::instance::InstanceId;
 use bellyoke_core::cookie::reachability::ProbeBatch;
 use bellyoke_core::cookie::replica::Snapshot;
+use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::time::Timestamp;
 use machines::{Machine, MachineState, RunningTarget};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -109,6 +110,7 @@
     TargetEnds(InstanceId),
     RecordGoes(InstanceId),
     RecordReturns(InstanceId),
+    OperatorWritesAgain,
 }
 
 /// What came of a run.
@@ -145,6 +147,10 @@
     waiting: Vec<(usize, u64, StoreCall)>,
     rules: Rules,
     version: u64,
+    /// What the operator has written last, for a store that has lost it.
+    newest_configuration: Option<Configuration>,
+    /// The zones that the operator has drained.
+    drained_zones: BTreeSet<String>,
     store_disturbed_at: Timestamp,
     store_calls: u64,
     heartbeats: u64,
@@ -184,6 +190,8 @@
             waiting: Vec::new(),
             rules: Rules::default(),
             version: 0,
+            newest_configuration: None,
+            drained_zones: BTreeSet::new(),
             store_disturbed_at: Timestamp::ZERO,
             store_calls: 0,
             heartbeats: 0,
@@ -293,6 +301,7 @@
             Event::TargetEnds(id) => self.end_target(id),
             Event::RecordGoes(id) => self.store_change(|store, now| store.remove_instance(now, id)),
             Event::RecordReturns(id) => self.return_record(id),
+            Event::OperatorWritesAgain => self.write_again(),
         }
     }
 
--- a/crates/bellyoke-lab/src/cookie/world/actions.rs
+++ b/crates/bellyoke-lab/src/cookie/world/actions.rs
@@ -1,17 +1,22 @@
 //! What a scenario makes happen.
 
+use super::machines::RunningTarget;
 use super::{Event, World};
 use crate::cookie::scenario::{
     Action, ZONES, configuration, service_address, service_name, zone_name,
 };
 use crate::cookie::store::StoreMode;
 use crate::cookie::target::TargetSettings;
-use bellyoke_core::cookie::instance::InstanceState;
+use bellyoke_core::cookie::instance::{InstanceId, InstanceState};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Silence after which the store drops a target's record.
 const HEARTBEATS_MISSED: Duration = Duration::from_millis(3_600);
 
+/// Time after which the operator writes again what a restored store has lost.
+const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Time after which a target writes its record again.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -32,10 +37,12 @@
                 self.start_target(service, address);
             }
             Action::DrainZone(zone) => {
+                self.drained_zones.insert(zone_name(zone));
                 self.store.drain_zone(self.now, &zone_name(zone));
                 self.rules.zone_drained(self.now, zone);
             }
             Action::RestoreZone(zone) => {
+                self.drained_zones.remove(&zone_name(zone));
                 self.store.restore_zone(self.now, &zone_name(zone));
                 self.rules.zone_restored(zone);
             }
@@ -45,6 +52,8 @@
                 self.store_disturbed_at = self.now;
                 self.store.compact();
             }
+            Action::CopyStore => self.store.take_copy(),
+            Action::RestoreStore => self.restore_store(),
             Action::Staleness(staleness) => {
                 self.store_disturbed_at = self.now;
                 self.store.staleness = staleness;
@@ -93,6 +102,7 @@
                 (route.address, own.or(probe).unwrap_or_default())
             })
             .collect();
+        self.newest_configuration = Some(written.clone());
         self.store.put_configuration(self.now, written);
         self.rules.configured(self.now, &routes);
     }
@@ -162,6 +172,48 @@
         }
     }
 
+    /// The operator and the targets find out what is missing, and write it again.
+    fn restore_store(&mut self) {
+        self.store.restore();
+        self.set_store_mode(StoreMode::Up);
+        self.after(REWRITE_DELAY, Event::OperatorWritesAgain);
+        let pause = HEARTBEAT / u32::try_from(self.targets.len().max(1)).unwrap_or(u32::MAX);
+        let ids: Vec<_> = self.targets.iter().map(|target| target.id).collect();
+        for (index, id) in ids.into_iter().enumerate() {
+            let place = u32::try_from(index).unwrap_or_default();
+            self.after(pause * place, Event::RecordReturns(id));
+        }
+        let listed = self.store.instances();
+        let lapsing: Vec<_> = listed.filter(|id| !self.is_running(*id)).collect();
+        for id in lapsing {
+            self.after(HEARTBEATS_MISSED, Event::RecordGoes(id));
+        }
+    }
+
+    /// Whether a target that still writes its record has this id.
+    fn is_running(&self, id: InstanceId) -> bool {
+        let running = |target: &RunningTarget| target.target.is_some() && target.record.is_some();
+        self.targets
+            .iter()
+            .any(|target| target.id == id && running(target))
+    }
+
+    /// Writes the newest configuration and the drained zones again, as far as the store has lost them.
+    pub(super) fn write_again(&mut self) {
+        let newest = self.newest_configuration.clone();
+        let held = self.store.configuration().map(|held| held.version);
+        if let Some(newest) = newest.filter(|newest| held != Some(newest.version)) {
+            self.store.put_configuration(self.now, newest);
+        }
+        let held: BTreeSet<String> = self.store.drained_zones().map(str::to_owned).collect();
+        for zone in self.drained_zones.difference(&held) {
+            self.store.drain_zone(self.now, zone);
+        }
+        for zone in held.difference(&self.drained_zones) {
+            self.store.restore_zone(self.now, zone);
+        }
+    }
+
     fn terminate(&mut self, node: usize) {
         let now = self.now;
         let machine = &mut self.machines[node];
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -386,7 +386,11 @@
         let record = target
             .filter(|target| target.target.is_some())
             .and_then(|target| target.record.clone());
-        if let Some(record) = record {
+        let held = self.store.instance(id);
+        let tells = |record: &InstanceRecord| {
+            held.is_some_and(|held| held.state == record.state && held.started == record.started)
+        };
+        if let Some(record) = record.filter(|record| !tells(record)) {
             self.store.put_instance(self.now, record);
         }
     }
