--- a/crates/bellyoke-core/benches/control.rs
+++ b/crates/bellyoke-core/benches/control.rs
@@ -36,7 +36,7 @@
     row("change of one instance", |node, number| {
         let record = record(number % 300, LISTED + u64::from(number));
         let update = Update::Changes {
-            at: Revision(LISTED + u64::from(number)),
+            at: Revision::new(LISTED + u64::from(number)),
             events: vec![InstanceEvent::Put(record)],
         };
         black_box(node.instances(time(number), update));
@@ -96,12 +96,12 @@
     let mut node = Coordinator::new(Replica::new(Duration::from_secs(70)), exchange);
     let items = (0..instances).map(|number| record(number, u64::from(number)));
     let list = Update::Whole {
-        at: Revision(LISTED),
+        at: Revision::new(LISTED),
         items: items.collect(),
     };
     node.instances(time(0), list);
     let configuration = Update::Whole {
-        at: Revision(LISTED),
+        at: Revision::new(LISTED),
         items: vec![configuration()],
     };
     node.configurations(time(0), configuration);
@@ -114,7 +114,7 @@
         weight: 1,
     });
     Configuration {
-        revision: Revision(LISTED),
+        revision: Revision::new(LISTED),
         version: 1,
         routes: vec![Route {
             address: SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 1), 443),
@@ -142,13 +142,13 @@
     };
     InstanceRecord {
         id: id(number),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
         service: service.to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::from(0x0a01_0000 + number), 8_000),
         zone: format!("zone-{}", number % 5),
         state: InstanceState::Ready,
         cold_remaining_milliseconds: 0,
-        created: Some(Revision(u64::from(number))),
+        created: Some(Revision::new(u64::from(number))),
         slots: 2,
         started: None,
     }
--- a/crates/bellyoke-core/benches/cookie.rs
+++ b/crates/bellyoke-core/benches/cookie.rs
@@ -127,7 +127,7 @@
 fn table(instances: u32, services: u32) -> ForwardingTable {
     let record = |instance: u32| InstanceRecord {
         id: instance_id(instance),
-        revision: Revision(1),
+        revision: Revision::new(1),
         service: format!("service-{}", instance % services),
         address: instance_address(instance),
         zone: "zone".to_owned(),
@@ -147,14 +147,14 @@
     };
     let mut replica = Replica::new(Duration::from_secs(70));
     replica.adopt_configuration(Configuration {
-        revision: Revision(1),
+        revision: Revision::new(1),
         version: 1,
         routes: (0..services).map(route).collect(),
         limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
     });
     let records = (0..instances).map(record).collect();
-    replica.replace_instances(Timestamp::ZERO, Revision(2), records);
+    replica.replace_instances(Timestamp::ZERO, Revision::new(2), records);
     replica.table()
 }
 
--- a/crates/bellyoke-core/examples/embed_cookie.rs
+++ b/crates/bellyoke-core/examples/embed_cookie.rs
@@ -19,7 +19,7 @@
     let last = u8::try_from(id).unwrap_or_default();
     InstanceRecord {
         id: InstanceId(id),
-        revision: Revision(1),
+        revision: Revision::new(1),
         service: "till".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 8_080),
         zone: "cork".to_owned(),
@@ -36,7 +36,7 @@
     let now = Timestamp::from_micros(1_000_000);
     let mut replica = Replica::new(Duration::from_secs(70));
     replica.adopt_configuration(Configuration {
-        revision: Revision(1),
+        revision: Revision::new(1),
         version: 1,
         routes: vec![Route {
             address: SERVICE,
@@ -49,7 +49,7 @@
         limits: Vec::new(),
         idle_timeout_milliseconds: 15_000,
     });
-    replica.replace_instances(now, Revision(2), vec![instance(1), instance(2)]);
+    replica.replace_instances(now, Revision::new(2), vec![instance(1), instance(2)]);
 
     // A client asks for a flow: the host writes the cookie into the packet and sends it on.
     let mut forwarder = Forwarder::new(HealthSettings::default());
@@ -72,7 +72,7 @@
     );
 
     // All instances are replaced; the flow's packets bring the cookie back.
-    replica.replace_instances(now, Revision(3), vec![instance(3)]);
+    replica.replace_instances(now, Revision::new(3), vec![instance(3)]);
     packet.role = PacketRole::Later;
     packet.cookie = Some(placed.cookie);
     let followed = destination(forwarder.decide(now, &replica.table(), &packet, false));
--- a/crates/bellyoke-core/src/cookie/delta.rs
+++ b/crates/bellyoke-core/src/cookie/delta.rs
@@ -46,9 +46,9 @@
     /// use bellyoke_core::cookie::delta::RevisionGap;
     /// use bellyoke_core::cookie::revision::Revision;
     ///
-    /// let gap = RevisionGap { from: Revision(4), to: Revision(9) };
-    /// assert!(gap.holds(Revision(5)));
-    /// assert!(!gap.holds(Revision(4)) && !gap.holds(Revision(9)));
+    /// let gap = RevisionGap { from: Revision::new(4), to: Revision::new(9) };
+    /// assert!(gap.holds(Revision::new(5)));
+    /// assert!(!gap.holds(Revision::new(4)) && !gap.holds(Revision::new(9)));
     /// ```
     #[must_use]
     pub fn holds(self, revision: Revision) -> bool {
@@ -85,13 +85,13 @@
     /// use bellyoke_core::cookie::route::Configuration;
     ///
     /// let old = Configuration {
-    ///     revision: Revision(4),
+    ///     revision: Revision::new(4),
     ///     version: 1,
     ///     routes: Vec::new(),
     ///     limits: Vec::new(),
     ///     idle_timeout_milliseconds: 15_000,
     /// };
-    /// let new = Configuration { revision: Revision(9), version: 2, ..old.clone() };
+    /// let new = Configuration { revision: Revision::new(9), version: 2, ..old.clone() };
     /// let delta = ConfigurationDelta::between(&old, &new).unwrap();
     /// assert_eq!(delta.apply(&old), Some(new));
     /// ```
--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -87,8 +87,8 @@
             tombstone_lifetime,
             known: BTreeMap::new(),
             as_of: None,
-            changed_at: Revision(0),
-            complete_since: Revision(0),
+            changed_at: Revision::new(0),
+            complete_since: Revision::new(0),
             gaps: Vec::new(),
             oldest_gone_at: None,
             succeeded: OnceCell::new(),
@@ -471,7 +471,7 @@
         let instance = KnownInstance {
             warm_at: now.after(cold),
             gone_at: None,
-            gone_revision: Revision(0),
+            gone_revision: Revision::new(0),
             restarted,
             record,
         };
--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -244,7 +244,7 @@
     pub const fn new(settings: FollowerSettings) -> Self {
         Self {
             settings,
-            phase: Phase::list(Freshness::MayBeStale, Revision(0)),
+            phase: Phase::list(Freshness::MayBeStale, Revision::new(0)),
             failures: 0,
             not_before: Timestamp::ZERO,
             changed_at: None,
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -150,7 +150,7 @@
     pub const fn new(tombstone_lifetime: Duration) -> Self {
         Self {
             configuration: None,
-            configuration_as_of: Revision(0),
+            configuration_as_of: Revision::new(0),
             recent_configurations: VecDeque::new(),
             directory: Directory::new(tombstone_lifetime),
             zones: ZoneDrains::none(),
--- a/crates/bellyoke-core/src/cookie/zones.rs
+++ b/crates/bellyoke-core/src/cookie/zones.rs
@@ -76,13 +76,13 @@
 /// use bellyoke_core::time::Timestamp;
 ///
 /// let now = Timestamp::from_micros(1_000_000);
-/// let drained = DrainedZone { zone: "cork".to_owned(), revision: Revision(5) };
+/// let drained = DrainedZone { zone: "cork".to_owned(), revision: Revision::new(5) };
 /// let mut zones = ZoneDrains::unknown();
-/// zones.replace(now, Revision(7), vec![drained]);
+/// zones.replace(now, Revision::new(7), vec![drained]);
 /// assert!(zones.is_drained("cork"));
-/// zones.apply(now, Revision(9), vec![ZoneEvent::Restored("cork".to_owned())]);
+/// zones.apply(now, Revision::new(9), vec![ZoneEvent::Restored("cork".to_owned())]);
 /// assert!(!zones.is_drained("cork"));
-/// assert_eq!(zones.restoration("cork").unwrap().revision, Revision(9));
+/// assert_eq!(zones.restoration("cork").unwrap().revision, Revision::new(9));
 /// ```
 #[derive(Debug)]
 pub struct ZoneDrains {
@@ -98,7 +98,7 @@
     pub const fn unknown() -> Self {
         Self {
             as_of: None,
-            changed_at: Revision(0),
+            changed_at: Revision::new(0),
             drained: BTreeMap::new(),
             restored: BTreeMap::new(),
         }
@@ -109,8 +109,8 @@
     #[must_use]
     pub const fn none() -> Self {
         Self {
-            as_of: Some(Revision(1)),
-            changed_at: Revision(1),
+            as_of: Some(Revision::new(1)),
+            changed_at: Revision::new(1),
             drained: BTreeMap::new(),
             restored: BTreeMap::new(),
         }
--- a/crates/bellyoke-core/src/identity.rs
+++ b/crates/bellyoke-core/src/identity.rs
@@ -48,8 +48,3 @@
     /// A group of buckets that share an owner and its replicas.
     GroupIndex(u16)
 );
-identifier!(
-    /// Position in the store's one sequence of changes. It orders everything that nodes which
-    /// forward by cookie know: the larger is the newer, whoever told it.
-    Revision(u64)
-);
--- a/crates/bellyoke-core/tests/cookie/admission.rs
+++ b/crates/bellyoke-core/tests/cookie/admission.rs
@@ -57,7 +57,7 @@
 fn table() -> ForwardingTable {
     let mut replica = Replica::new(TOMBSTONE_LIFETIME);
     replica.adopt_configuration(Configuration {
-        revision: Revision(1),
+        revision: Revision::new(1),
         version: 1,
         routes: vec![
             route(ORDER, RequestKind::NonIdempotent, 1),
@@ -68,7 +68,7 @@
         idle_timeout_milliseconds: 15_000,
     });
     let records = (1..=TARGETS).map(|id| record(id, 1)).collect();
-    replica.replace_instances(at(0), Revision(10), records);
+    replica.replace_instances(at(0), Revision::new(10), records);
     replica.table()
 }
 
--- a/crates/bellyoke-core/tests/cookie/answers.rs
+++ b/crates/bellyoke-core/tests/cookie/answers.rs
@@ -26,7 +26,7 @@
         let mut replica = node(Vec::new());
         replica.replace_instances(
             at(0),
-            Revision(11),
+            Revision::new(11),
             (1..=3).map(|id| record(id, 11)).collect(),
         );
         Self {
@@ -337,7 +337,7 @@
     let mut replica = node(Vec::new());
     replica.adopt_configuration(configuration(2, &[("till", 1), ("stock", 1)]));
     let instances = vec![record(1, 11), of_service("stock", record(2, 11))];
-    replica.replace_instances(at(0), Revision(11), instances);
+    replica.replace_instances(at(0), Revision::new(11), instances);
     let mut watcher = Watcher::new();
     watcher.table = replica.table();
     assert!(watcher.table.route(SERVICE).is_some());
--- a/crates/bellyoke-core/tests/cookie/cluster.rs
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -139,21 +139,21 @@
         let now = at(self.now);
         let node = self.node(number);
         let configurations = Update::Whole {
-            at: Revision(revision),
+            at: Revision::new(revision),
             items: vec![configuration(revision, &[("till", 1)])],
         };
         let mut outcome = node.coordinator.configurations(now, configurations);
         let known = node.coordinator.known_up_to(ObjectKind::Instances);
         let instances = if known == Revision::default() {
             Update::Whole {
-                at: Revision(revision),
+                at: Revision::new(revision),
                 items: vec![record(revision, revision)],
             }
         } else {
             Update::Changes {
-                at: Revision(revision),
+                at: Revision::new(revision),
                 events: vec![
-                    InstanceEvent::Gone(InstanceId(known.0)),
+                    InstanceEvent::Gone(InstanceId(known.number())),
                     InstanceEvent::Put(record(revision, revision)),
                 ],
             }
@@ -297,8 +297,9 @@
     }
 
     pub fn knowing(&self, revision: u64) -> usize {
-        let knows =
-            |node: &&Node| node.alive && self.versions(node).configuration >= Revision(revision);
+        let knows = |node: &&Node| {
+            node.alive && self.versions(node).configuration >= Revision::new(revision)
+        };
         self.nodes.values().filter(knows).count()
     }
 
@@ -350,10 +351,10 @@
     let mut cluster = Cluster::laid_out(nodes, layout);
     cluster.store_answers = true;
     let records: Vec<InstanceRecord> = (1..=instances).map(|id| record(id, id)).collect();
-    let revision = Revision(instances + 1);
+    let revision = Revision::new(instances + 1);
     for node in cluster.nodes.values_mut() {
         let coordinator = &mut node.coordinator;
-        let configuration = configuration(revision.0, &[("till", 1)]);
+        let configuration = configuration(revision.number(), &[("till", 1)]);
         let items = vec![configuration];
         coordinator.configurations(
             at(0),
--- a/crates/bellyoke-core/tests/cookie/cold.rs
+++ b/crates/bellyoke-core/tests/cookie/cold.rs
@@ -44,7 +44,7 @@
         cold_remaining_milliseconds: if id <= cold { 10_000 } else { 0 },
         ..record(id, 1)
     });
-    replica.replace_instances(at(0), Revision(1), records.collect());
+    replica.replace_instances(at(0), Revision::new(1), records.collect());
     replica.table()
 }
 
--- a/crates/bellyoke-core/tests/cookie/directory.rs
+++ b/crates/bellyoke-core/tests/cookie/directory.rs
@@ -27,10 +27,10 @@
 #[test]
 fn an_instance_that_went_stays_known_for_the_life_of_its_flows() {
     let mut directory = directory();
-    directory.replace(at(0), Revision(5), vec![record(1, 4), record(2, 5)]);
+    directory.replace(at(0), Revision::new(5), vec![record(1, 4), record(2, 5)]);
     directory.apply(
         at(1_000),
-        Revision(6),
+        Revision::new(6),
         vec![InstanceEvent::Gone(InstanceId(1))],
     );
     assert_eq!(present(&directory), [2]);
@@ -43,34 +43,38 @@
 #[test]
 fn a_list_without_an_instance_makes_it_a_tombstone() {
     let mut directory = directory();
-    directory.replace(at(0), Revision(5), vec![record(1, 4), record(2, 5)]);
-    assert!(directory.replace(at(10), Revision(9), vec![record(2, 5)]));
+    directory.replace(at(0), Revision::new(5), vec![record(1, 4), record(2, 5)]);
+    assert!(directory.replace(at(10), Revision::new(9), vec![record(2, 5)]));
     assert_eq!(gone(&directory), [1]);
 }
 
 #[test]
 fn an_instance_whose_record_comes_back_is_present_again() {
     let mut directory = directory();
-    directory.replace(at(0), Revision(5), vec![record(1, 4)]);
+    directory.replace(at(0), Revision::new(5), vec![record(1, 4)]);
     directory.apply(
         at(10),
-        Revision(6),
+        Revision::new(6),
         vec![InstanceEvent::Gone(InstanceId(1))],
     );
-    assert!(directory.apply(at(20), Revision(7), vec![InstanceEvent::Put(record(1, 7))]));
+    assert!(directory.apply(
+        at(20),
+        Revision::new(7),
+        vec![InstanceEvent::Put(record(1, 7))]
+    ));
     assert_eq!(present(&directory), [1]);
 }
 
 #[test]
 fn an_older_list_changes_nothing() {
     let mut directory = directory();
-    let created = Some(Revision(4));
+    let created = Some(Revision::new(4));
     let changed = InstanceRecord {
         created,
         ..draining(1, 8)
     };
-    directory.replace(at(0), Revision(9), vec![changed]);
-    assert!(!directory.replace(at(10), Revision(5), vec![record(1, 4), record(2, 5)]));
+    directory.replace(at(0), Revision::new(9), vec![changed]);
+    assert!(!directory.replace(at(10), Revision::new(5), vec![record(1, 4), record(2, 5)]));
     assert_eq!(present(&directory), [1]);
     let state = directory.instances().next().unwrap().record.state;
     assert_eq!(state, InstanceState::Draining);
@@ -79,42 +83,46 @@
 #[test]
 fn changes_that_a_newer_list_already_held_are_left_out() {
     let mut directory = directory();
-    directory.replace(at(0), Revision(9), vec![record(2, 5)]);
+    directory.replace(at(0), Revision::new(9), vec![record(2, 5)]);
     // The watch goes on from an older revision: instance 1 came at 6 and went at 8.
     let events = vec![
         InstanceEvent::Put(record(1, 6)),
         InstanceEvent::Put(record(3, 10)),
     ];
-    directory.apply(at(10), Revision(10), events);
+    directory.apply(at(10), Revision::new(10), events);
     assert_eq!(present(&directory), [2, 3]);
 }
 
 #[test]
 fn changes_before_the_first_list_are_left_out() {
     let mut directory = directory();
-    assert!(!directory.apply(at(0), Revision(3), vec![InstanceEvent::Put(record(1, 3))]));
+    assert!(!directory.apply(
+        at(0),
+        Revision::new(3),
+        vec![InstanceEvent::Put(record(1, 3))]
+    ));
     assert_eq!(directory.as_of(), None);
 }
 
 #[test]
 fn a_tombstone_of_a_peer_never_hides_a_present_instance() {
     let mut directory = directory();
-    directory.replace(at(0), Revision(9), vec![record(1, 8)]);
+    directory.replace(at(0), Revision::new(9), vec![record(1, 8)]);
     let tombstones = vec![
         Tombstone {
             record: record(1, 4),
             age_milliseconds: 10,
-            revision: Revision(5),
+            revision: Revision::new(5),
         },
         Tombstone {
             record: record(2, 4),
             age_milliseconds: 10,
-            revision: Revision(5),
+            revision: Revision::new(5),
         },
         Tombstone {
             record: record(3, 4),
             age_milliseconds: 70_000,
-            revision: Revision(5),
+            revision: Revision::new(5),
         },
     ];
     assert!(directory.learn_tombstones(at(100_000), tombstones));
@@ -128,7 +136,7 @@
     let tombstone = Tombstone {
         record: record(2, 4),
         age_milliseconds: 60_000,
-        revision: Revision(5),
+        revision: Revision::new(5),
     };
     directory.learn_tombstones(at(100_000), vec![tombstone]);
     assert!(!directory.expire(at(109_999)));
@@ -140,7 +148,7 @@
     let mut directory = directory();
     let mut cold = record(1, 4);
     cold.cold_remaining_milliseconds = 2_000;
-    directory.replace(at(0), Revision(5), vec![cold]);
+    directory.replace(at(0), Revision::new(5), vec![cold]);
     let told = |now| directory.records(at(now))[0].cold_remaining_milliseconds;
     assert_eq!(told(500), 1_500);
     assert_eq!(told(5_000), 0);
@@ -177,7 +185,7 @@
 fn creations_are_sound(told: &[InstanceRecord], held: &[InstanceRecord], steps: &[Step]) -> bool {
     let is_sound = |told: &InstanceRecord, held: &InstanceRecord| {
         let created = told.created.unwrap();
-        let step = &steps[usize::try_from(created.0).unwrap() - 1];
+        let step = &steps[usize::try_from(created.number()).unwrap() - 1];
         let is_put = matches!(step, Step::Put(id) | Step::Drain(id) if *id == told.id.0);
         is_put && Some(created) <= held.created
     };
@@ -205,7 +213,11 @@
                 state.remove(id);
             }
         }
-        history.push((Revision(revision), event, state.values().cloned().collect()));
+        history.push((
+            Revision::new(revision),
+            event,
+            state.values().cloned().collect(),
+        ));
     }
     history
 }
@@ -216,7 +228,7 @@
     ends: &[usize],
 ) -> Directory {
     let mut directory = directory();
-    directory.replace(at(0), Revision(0), Vec::new());
+    directory.replace(at(0), Revision::new(0), Vec::new());
     let mut from = 0;
     for end in ends.iter().copied().filter(|end| *end < history.len()) {
         if end < from {
@@ -234,20 +246,20 @@
 #[test]
 fn a_delta_tells_what_came_changed_and_went() {
     let mut ahead = directory();
-    ahead.replace(at(0), Revision(5), vec![record(1, 4), record(2, 5)]);
+    ahead.replace(at(0), Revision::new(5), vec![record(1, 4), record(2, 5)]);
     let mut behind = directory();
-    behind.replace(at(0), Revision(5), vec![record(1, 4), record(2, 5)]);
+    behind.replace(at(0), Revision::new(5), vec![record(1, 4), record(2, 5)]);
     let events = vec![
         InstanceEvent::Gone(InstanceId(1)),
         InstanceEvent::Put(draining(2, 7)),
         InstanceEvent::Put(record(3, 8)),
     ];
-    ahead.apply(at(10), Revision(8), events);
-    let delta = ahead.delta_since(at(10), Revision(5)).unwrap();
+    ahead.apply(at(10), Revision::new(8), events);
+    let delta = ahead.delta_since(at(10), Revision::new(5)).unwrap();
     assert!(behind.apply_delta(at(20), delta.clone()));
     assert_eq!(behind.records(at(20)), ahead.records(at(20)));
     assert_eq!(gone(&behind), [1]);
-    assert_eq!(behind.as_of(), Some(Revision(8)));
+    assert_eq!(behind.as_of(), Some(Revision::new(8)));
     assert!(
         !behind.apply_delta(at(30), delta),
         "a second time it changes nothing"
@@ -257,64 +269,80 @@
 #[test]
 fn a_delta_that_starts_after_what_is_known_changes_nothing() {
     let mut ahead = directory();
-    ahead.replace(at(0), Revision(5), vec![record(1, 4)]);
+    ahead.replace(at(0), Revision::new(5), vec![record(1, 4)]);
     ahead.apply(
         at(10),
-        Revision(8),
+        Revision::new(8),
         vec![InstanceEvent::Gone(InstanceId(1))],
     );
-    ahead.apply(at(10), Revision(9), vec![InstanceEvent::Put(record(2, 9))]);
-    let delta = ahead.delta_since(at(10), Revision(8)).unwrap();
+    ahead.apply(
+        at(10),
+        Revision::new(9),
+        vec![InstanceEvent::Put(record(2, 9))],
+    );
+    let delta = ahead.delta_since(at(10), Revision::new(8)).unwrap();
     let mut behind = directory();
-    behind.replace(at(0), Revision(5), vec![record(1, 4)]);
+    behind.replace(at(0), Revision::new(5), vec![record(1, 4)]);
     assert!(!behind.apply_delta(at(20), delta));
     assert_eq!(present(&behind), [1]);
-    assert_eq!(behind.as_of(), Some(Revision(5)));
+    assert_eq!(behind.as_of(), Some(Revision::new(5)));
 }
 
 #[test]
 fn a_delta_brings_tombstones_of_instances_that_were_never_seen() {
     let mut ahead = directory();
-    ahead.replace(at(0), Revision(5), Vec::new());
-    ahead.apply(at(10), Revision(6), vec![InstanceEvent::Put(record(1, 6))]);
+    ahead.replace(at(0), Revision::new(5), Vec::new());
+    ahead.apply(
+        at(10),
+        Revision::new(6),
+        vec![InstanceEvent::Put(record(1, 6))],
+    );
     ahead.apply(
         at(20),
-        Revision(7),
+        Revision::new(7),
         vec![InstanceEvent::Gone(InstanceId(1))],
     );
     let mut behind = directory();
-    behind.replace(at(0), Revision(5), Vec::new());
-    behind.apply_delta(at(30), ahead.delta_since(at(30), Revision(5)).unwrap());
+    behind.replace(at(0), Revision::new(5), Vec::new());
+    behind.apply_delta(at(30), ahead.delta_since(at(30), Revision::new(5)).unwrap());
     assert_eq!(gone(&behind), [1]);
 }
 
 #[test]
 fn no_delta_reaches_back_beyond_what_was_forgotten() {
     let mut directory = directory();
-    directory.replace(at(0), Revision(5), vec![record(1, 4), record(2, 4)]);
+    directory.replace(at(0), Revision::new(5), vec![record(1, 4), record(2, 4)]);
     directory.apply(
         at(10),
-        Revision(8),
+        Revision::new(8),
         vec![InstanceEvent::Gone(InstanceId(1))],
     );
     directory.apply(
         at(20),
-        Revision(9),
+        Revision::new(9),
         vec![InstanceEvent::Put(draining(2, 9))],
     );
     assert!(
-        directory.delta_since(at(20), Revision(4)).is_none(),
+        directory.delta_since(at(20), Revision::new(4)).is_none(),
         "before the first list"
     );
-    assert!(directory.delta_since(at(20), Revision(5)).is_some());
+    assert!(directory.delta_since(at(20), Revision::new(5)).is_some());
     directory.expire(at(80_000));
     assert!(
-        directory.delta_since(at(80_000), Revision(7)).is_none(),
+        directory
+            .delta_since(at(80_000), Revision::new(7))
+            .is_none(),
         "the removal at 8 is forgotten"
     );
-    assert!(directory.delta_since(at(80_000), Revision(8)).is_some());
     assert!(
-        directory.delta_since(at(80_000), Revision(9)).is_none(),
+        directory
+            .delta_since(at(80_000), Revision::new(8))
+            .is_some()
+    );
+    assert!(
+        directory
+            .delta_since(at(80_000), Revision::new(9))
+            .is_none(),
         "there is nothing newer"
     );
 }
@@ -322,13 +350,13 @@
 #[test]
 fn a_peer_confirms_only_those_who_know_its_last_change() {
     let mut directory = directory();
-    directory.replace(at(0), Revision(5), vec![record(1, 4)]);
-    directory.confirm(Revision(6), Revision(9));
-    assert_eq!(directory.as_of(), Some(Revision(5)));
-    directory.confirm(Revision(5), Revision(9));
-    assert_eq!(directory.as_of(), Some(Revision(9)));
-    directory.confirm(Revision(5), Revision(7));
-    assert_eq!(directory.as_of(), Some(Revision(9)));
+    directory.replace(at(0), Revision::new(5), vec![record(1, 4)]);
+    directory.confirm(Revision::new(6), Revision::new(9));
+    assert_eq!(directory.as_of(), Some(Revision::new(5)));
+    directory.confirm(Revision::new(5), Revision::new(9));
+    assert_eq!(directory.as_of(), Some(Revision::new(9)));
+    directory.confirm(Revision::new(5), Revision::new(7));
+    assert_eq!(directory.as_of(), Some(Revision::new(9)));
 }
 
 proptest! {
@@ -348,17 +376,17 @@
         let sender = follower(&history, &sender_ends);
         let mut receiver = follower(&history, &receiver_ends);
         let before = receiver.as_of().unwrap();
-        if let Some(delta) = sender.delta_since(at(0), Revision(since)) {
+        if let Some(delta) = sender.delta_since(at(0), Revision::new(since)) {
             receiver.apply_delta(at(0), delta);
         }
-        let expected = if Revision(since) <= before && sender.as_of().unwrap() > before {
+        let expected = if Revision::new(since) <= before && sender.as_of().unwrap() > before {
             &sender
         } else {
             &follower(&history, &receiver_ends)
         };
         let (told, held) = (receiver.records(at(0)), expected.records(at(0)));
         prop_assert_eq!(without_creations(&told), without_creations(&held));
-        let state = &history[usize::try_from(receiver.as_of().unwrap().0).unwrap().max(1) - 1].2;
+        let state = &history[usize::try_from(receiver.as_of().unwrap().number()).unwrap().max(1) - 1].2;
         prop_assert!(told.is_empty() || creations_are_sound(&told, state, &steps));
         prop_assert_eq!(receiver.as_of(), expected.as_of());
     }
@@ -381,14 +409,14 @@
                     node.replace(at(0), history[end].0, history[end].2.clone());
                 }
                 1 => {
-                    let known = usize::try_from(node.as_of().unwrap_or_default().0).unwrap();
+                    let known = usize::try_from(node.as_of().unwrap_or_default().number()).unwrap();
                     if known > 0 && known <= end {
                         let events = history[known..=end].iter().map(|(_, event, _)| event.clone());
                         node.apply(at(0), history[end].0, events.collect());
                     }
                 }
                 2 => {
-                    if let Some(delta) = peer.delta_since(at(0), Revision(number as u64)) {
+                    if let Some(delta) = peer.delta_since(at(0), Revision::new(number as u64)) {
                         node.apply_delta(at(0), delta);
                     }
                 }
@@ -401,7 +429,7 @@
             }
             for node in &nodes {
                 if let Some(as_of) = node.as_of() {
-                    let held = &history[usize::try_from(as_of.0).unwrap() - 1].2;
+                    let held = &history[usize::try_from(as_of.number()).unwrap() - 1].2;
                     let told = node.records(at(0));
                     prop_assert_eq!(without_creations(&told), without_creations(held));
                     prop_assert!(creations_are_sound(&told, held, &steps));
@@ -419,7 +447,7 @@
     ) {
         let history = history(&steps);
         let mut directory = directory();
-        let mut newest = Revision(0);
+        let mut newest = Revision::new(0);
         for (first, second, whole) in order {
             let to = first.index(history.len()).max(second.index(history.len()));
             let from = first.index(history.len()).min(second.index(history.len()));
@@ -427,15 +455,15 @@
             if whole {
                 directory.replace(at(0), *at_revision, state.clone());
                 newest = newest.max(*at_revision);
-            } else if directory.as_of().is_some_and(|as_of| as_of >= Revision(from as u64)) {
+            } else if directory.as_of().is_some_and(|as_of| as_of >= Revision::new(from as u64)) {
                 // A watch from `from` has events only for what came after.
                 let events = history[from..=to].iter().map(|(_, event, _)| event.clone());
                 directory.apply(at(0), *at_revision, events.collect());
                 newest = newest.max(*at_revision);
             }
             prop_assert!(directory.as_of().unwrap_or_default() >= newest);
-            if newest > Revision(0) {
-                let expected: Vec<u64> = history[usize::try_from(newest.0).unwrap() - 1].2
+            if newest > Revision::new(0) {
+                let expected: Vec<u64> = history[usize::try_from(newest.number()).unwrap() - 1].2
                     .iter().map(|record| record.id.0).collect();
                 prop_assert_eq!(present(&directory), expected);
             }
@@ -448,7 +476,7 @@
     let mut directory = Directory::new(TOMBSTONE_LIFETIME);
     directory.replace(
         at(0),
-        Revision(10),
+        Revision::new(10),
         (1..=3).map(|id| record(id, id)).collect(),
     );
     directory
@@ -458,22 +486,22 @@
 fn relisted() -> Directory {
     let mut directory = listed();
     let records = vec![record(1, 1), record(3, 3), record(4, 18)];
-    directory.replace(at(100), Revision(20), records);
+    directory.replace(at(100), Revision::new(20), records);
     directory
 }
 
 /// A list of thousands would else go to each node whenever the store forgets its history.
 #[test]
 fn who_knew_as_much_as_a_lister_is_told_by_a_delta() {
-    let delta = relisted().delta_since(at(100), Revision(10)).unwrap();
+    let delta = relisted().delta_since(at(100), Revision::new(10)).unwrap();
     assert_eq!((delta.records.len(), delta.gone.len()), (1, 1));
     let mut peer = listed();
     assert!(peer.apply_delta(at(110), delta));
     assert_eq!(present(&peer), [1, 3, 4]);
-    assert_eq!(peer.as_of(), Some(Revision(20)));
+    assert_eq!(peer.as_of(), Some(Revision::new(20)));
     // It knows no more of the span than the lister.
-    assert_eq!(peer.delta_since(at(120), Revision(15)), None);
-    assert!(peer.delta_since(at(120), Revision(10)).is_some());
+    assert_eq!(peer.delta_since(at(120), Revision::new(15)), None);
+    assert!(peer.delta_since(at(120), Revision::new(10)).is_some());
 }
 
 /// Instance 9 came after the lister's last revision and went before its list: nobody could tell that it has gone.
@@ -482,14 +510,14 @@
     let mut peer = listed();
     peer.apply(
         at(50),
-        Revision(15),
+        Revision::new(15),
         vec![InstanceEvent::Put(record(9, 15))],
     );
     let lister = relisted();
-    assert_eq!(lister.delta_since(at(100), Revision(15)), None);
-    let delta = lister.delta_since(at(100), Revision(10)).unwrap();
+    assert_eq!(lister.delta_since(at(100), Revision::new(15)), None);
+    let delta = lister.delta_since(at(100), Revision::new(10)).unwrap();
     assert!(!peer.apply_delta(at(110), delta));
-    assert_eq!(peer.as_of(), Some(Revision(15)));
+    assert_eq!(peer.as_of(), Some(Revision::new(15)));
     assert_eq!(present(&peer), [1, 2, 3, 9]);
 }
 
@@ -498,9 +526,9 @@
     let mut directory = listed();
     for list in 2..20 {
         let records = (1..=3).map(|id| record(id, id)).collect();
-        directory.replace(at(list), Revision(list * 10), records);
+        directory.replace(at(list), Revision::new(list * 10), records);
     }
-    assert_eq!(directory.delta_since(at(200), Revision(10)), None);
-    assert_eq!(directory.delta_since(at(200), Revision(185)), None);
-    assert!(directory.delta_since(at(200), Revision(180)).is_some());
+    assert_eq!(directory.delta_since(at(200), Revision::new(10)), None);
+    assert_eq!(directory.delta_since(at(200), Revision::new(185)), None);
+    assert!(directory.delta_since(at(200), Revision::new(180)).is_some());
 }
--- a/crates/bellyoke-core/tests/cookie/ended_instances.rs
+++ b/crates/bellyoke-core/tests/cookie/ended_instances.rs
@@ -41,14 +41,14 @@
 /// Instances 1 and 2, and then 9 at the address of the first, whose record goes later.
 fn both_present() -> Replica {
     let mut replica = node(vec![record(1, 1), record(2, 2)]);
-    replica.apply_instances(at(5_000), Revision(20), put(successor()));
+    replica.apply_instances(at(5_000), Revision::new(20), put(successor()));
     replica
 }
 
 /// The same after the record of instance 1 has gone.
 fn passed_on() -> Replica {
     let mut replica = both_present();
-    replica.apply_instances(at(5_200), Revision(21), gone(1));
+    replica.apply_instances(at(5_200), Revision::new(21), gone(1));
     replica
 }
 
@@ -61,7 +61,7 @@
     Tombstone {
         record,
         age_milliseconds,
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
@@ -114,17 +114,17 @@
     assert_eq!(ended(&replica), NOBODY);
     let decision = decide(&replica, 1, PacketRole::Later);
     assert!(matches!(decision, Decision::Follow { .. }), "{decision:?}");
-    replica.apply_instances(at(9_000), Revision(30), gone(1));
+    replica.apply_instances(at(9_000), Revision::new(30), gone(1));
     assert_eq!(ended(&replica), [1]);
 }
 
 #[test]
 fn a_late_write_of_the_ended_instance_turns_nothing_round() {
     let mut replica = passed_on();
-    replica.apply_instances(at(5_500), Revision(30), put(written_late(30)));
+    replica.apply_instances(at(5_500), Revision::new(30), put(written_late(30)));
     assert_eq!(ended(&replica), NOBODY);
     assert_eq!(placed(&replica), BTreeSet::from([2, 9]));
-    replica.apply_instances(at(9_100), Revision(31), gone(1));
+    replica.apply_instances(at(9_100), Revision::new(31), gone(1));
     assert_eq!(ended(&replica), [1]);
 }
 
@@ -133,19 +133,19 @@
 fn a_late_write_of_an_unknown_instance_ends_nobody() {
     let restarted = || {
         let mut replica = node(vec![record(2, 2)]);
-        replica.apply_instances(at(5_000), Revision(20), put(successor()));
+        replica.apply_instances(at(5_000), Revision::new(20), put(successor()));
         replica
     };
     let mut replica = restarted();
-    replica.apply_instances(at(8_000), Revision(30), put(written_late(30)));
+    replica.apply_instances(at(8_000), Revision::new(30), put(written_late(30)));
     assert_eq!(ended(&replica), NOBODY);
-    replica.apply_instances(at(12_000), Revision(31), gone(1));
+    replica.apply_instances(at(12_000), Revision::new(31), gone(1));
     assert_eq!(ended(&replica), NOBODY);
     // Both in one answer.
     let mut replica = restarted();
     let mut events = put(written_late(30));
     events.extend(gone(1));
-    replica.apply_instances(at(12_000), Revision(31), events);
+    replica.apply_instances(at(12_000), Revision::new(31), events);
     assert_eq!(ended(&replica), NOBODY);
 }
 
@@ -154,13 +154,13 @@
 fn a_tombstone_that_went_after_its_successor_came_is_of_the_earlier_instance() {
     let mut replica = node(vec![record(2, 2), successor()]);
     let mut directory = Directory::new(TOMBSTONE_LIFETIME);
-    directory.replace(at(0), Revision(20), vec![record(2, 2), successor()]);
+    directory.replace(at(0), Revision::new(20), vec![record(2, 2), successor()]);
     let went_last = tombstone(record(1, 1), 200, 25);
     directory.learn_tombstones(at(3_000), vec![went_last.clone()]);
     assert_eq!(directory.superseded(), BTreeSet::from([InstanceId(1)]));
     let snapshot = Snapshot {
         tombstones: vec![went_last],
-        ..passed_on().snapshot_for(at(3_000), replica.versions(), Revision(0))
+        ..passed_on().snapshot_for(at(3_000), replica.versions(), Revision::new(0))
     };
     replica.merge(at(3_000), snapshot);
     assert_eq!(ended(&replica), [1]);
@@ -170,19 +170,19 @@
 #[test]
 fn peers_tell_of_creations_before_a_late_write() {
     let mut replica = node(vec![record(2, 2)]);
-    replica.apply_instances(at(5_000), Revision(20), put(successor()));
-    replica.apply_instances(at(8_000), Revision(30), put(written_late(30)));
+    replica.apply_instances(at(5_000), Revision::new(20), put(successor()));
+    replica.apply_instances(at(8_000), Revision::new(30), put(written_late(30)));
     assert_eq!(placed(&replica), BTreeSet::from([1, 2]));
 
     let mut peer = passed_on();
-    peer.apply_instances(at(8_000), Revision(30), put(written_late(30)));
-    let snapshot = peer.snapshot_for(at(8_500), replica.versions(), Revision(0));
+    peer.apply_instances(at(8_000), Revision::new(30), put(written_late(30)));
+    let snapshot = peer.snapshot_for(at(8_500), replica.versions(), Revision::new(0));
     assert_eq!(snapshot.directory, None, "both know all up to revision 30");
     let bytes = encode_snapshot(&snapshot, &PeerKey::default()).unwrap();
     let snapshot = decode_snapshot(&bytes, &PeerKey::default()).unwrap();
     assert!(replica.merge(at(8_500), snapshot).directory);
     assert_eq!(placed(&replica), BTreeSet::from([2, 9]));
-    replica.apply_instances(at(12_000), Revision(31), gone(1));
+    replica.apply_instances(at(12_000), Revision::new(31), gone(1));
     assert_eq!(ended(&replica), [1]);
 }
 
@@ -191,41 +191,41 @@
     let created = |directory: &Directory| directory.instances().next().unwrap().record.created;
     let late = || {
         let mut directory = Directory::new(TOMBSTONE_LIFETIME);
-        directory.replace(at(0), Revision(30), vec![written_late(30)]);
+        directory.replace(at(0), Revision::new(30), vec![written_late(30)]);
         directory
     };
     let mut by_tombstone = late();
     assert!(by_tombstone.learn_tombstones(at(10), vec![tombstone(record(1, 1), 5, 8)]));
-    assert_eq!(created(&by_tombstone), Some(Revision(1)));
+    assert_eq!(created(&by_tombstone), Some(Revision::new(1)));
     let mut by_old_list = late();
-    assert!(by_old_list.replace(at(10), Revision(20), vec![record(1, 4)]));
-    assert_eq!(created(&by_old_list), Some(Revision(4)));
+    assert!(by_old_list.replace(at(10), Revision::new(20), vec![record(1, 4)]));
+    assert_eq!(created(&by_old_list), Some(Revision::new(4)));
     let mut by_delta = late();
     let delta = DirectoryDelta {
-        since: Revision(3),
-        as_of: Revision(20),
+        since: Revision::new(3),
+        as_of: Revision::new(20),
         gaps: Vec::new(),
         records: vec![record(1, 4)],
         gone: vec![tombstone(record(1, 2), 5, 3)],
     };
     assert!(by_delta.apply_delta(at(10), delta));
-    assert_eq!(created(&by_delta), Some(Revision(2)));
+    assert_eq!(created(&by_delta), Some(Revision::new(2)));
     // It stays when the record is created anew, and is what peers are told.
-    by_delta.apply(at(20), Revision(40), put(written_late(40)));
-    assert_eq!(by_delta.records(at(20))[0].created, Some(Revision(2)));
+    by_delta.apply(at(20), Revision::new(40), put(written_late(40)));
+    assert_eq!(by_delta.records(at(20))[0].created, Some(Revision::new(2)));
 }
 
 #[test]
 fn a_successor_that_lapses_ends_nobody_until_it_is_back() {
     let mut replica = passed_on();
-    replica.apply_instances(at(6_000), Revision(30), gone(9));
+    replica.apply_instances(at(6_000), Revision::new(30), gone(9));
     assert_eq!(ended(&replica), NOBODY);
     let back = at_address_of(1, record(9, 40));
-    replica.apply_instances(at(8_000), Revision(40), put(back));
+    replica.apply_instances(at(8_000), Revision::new(40), put(back));
     assert_eq!(ended(&replica), [1]);
     // It was created first at 20: a late write in between was no later instance.
-    replica.apply_instances(at(8_100), Revision(41), gone(9));
-    replica.apply_instances(at(8_200), Revision(42), put(written_late(35)));
+    replica.apply_instances(at(8_100), Revision::new(41), gone(9));
+    replica.apply_instances(at(8_200), Revision::new(42), put(written_late(35)));
     assert_eq!(ended(&replica), NOBODY);
 }
 
@@ -240,8 +240,8 @@
         (unknown(record(1, 1)), successor()),
     ] {
         let mut replica = node(vec![earlier, record(2, 2)]);
-        replica.apply_instances(at(5_000), Revision(20), put(later));
-        replica.apply_instances(at(6_000), Revision(21), gone(1));
+        replica.apply_instances(at(5_000), Revision::new(20), put(later));
+        replica.apply_instances(at(6_000), Revision::new(21), gone(1));
         assert_eq!(ended(&replica), NOBODY);
     }
 }
@@ -249,9 +249,9 @@
 #[test]
 fn records_that_came_together_tell_their_order() {
     let mut directory = Directory::new(TOMBSTONE_LIFETIME);
-    directory.replace(at(0), Revision(20), vec![record(1, 1), successor()]);
+    directory.replace(at(0), Revision::new(20), vec![record(1, 1), successor()]);
     assert_eq!(directory.superseded(), BTreeSet::new());
-    directory.apply(at(10), Revision(21), gone(1));
+    directory.apply(at(10), Revision::new(21), gone(1));
     assert_eq!(directory.superseded(), BTreeSet::from([InstanceId(1)]));
 }
 
@@ -260,7 +260,7 @@
 fn a_shared_cookie_names_the_instance_that_was_created_first() {
     let folded = record((5 << 32) | 6, 4);
     let first = InstanceRecord {
-        created: Some(Revision(3)),
+        created: Some(Revision::new(3)),
         ..record(3, 5)
     };
     assert_eq!(Cookie::of(folded.id), Cookie::of(first.id));
@@ -268,17 +268,17 @@
         let mut replica = node(vec![record(2, 2)]);
         replica.apply_instances(
             at(1_000),
-            Revision(11),
+            Revision::new(11),
             put(InstanceRecord {
-                revision: Revision(11),
+                revision: Revision::new(11),
                 ..met_first
             }),
         );
         replica.apply_instances(
             at(2_000),
-            Revision(12),
+            Revision::new(12),
             put(InstanceRecord {
-                revision: Revision(12),
+                revision: Revision::new(12),
                 ..met_last
             }),
         );
@@ -293,7 +293,7 @@
     let mut replica = node(vec![record(1, 1)]);
     replica.adopt_configuration(configuration(2, &[("till", 1)]));
     let gone = vec![InstanceEvent::Gone(InstanceId(1))];
-    replica.apply_instances(at(5_000), Revision(20), gone);
-    replica.apply_instances(at(9_000), Revision(21), put(record(1, 21)));
+    replica.apply_instances(at(5_000), Revision::new(20), gone);
+    replica.apply_instances(at(9_000), Revision::new(21), put(record(1, 21)));
     assert_eq!(replica.directory().superseded(), BTreeSet::new());
 }
--- a/crates/bellyoke-core/tests/cookie/ends.rs
+++ b/crates/bellyoke-core/tests/cookie/ends.rs
@@ -101,7 +101,7 @@
         InstanceEvent::Put(successor),
         InstanceEvent::Gone(InstanceId(1)),
     ];
-    replica.apply_instances(at(4_000), Revision(21), events);
+    replica.apply_instances(at(4_000), Revision::new(21), events);
     let table = replica.table();
     forwarder.review(at(4_100), &table);
     let ends = ends(&mut forwarder, &table, 4_100);
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -327,13 +327,13 @@
 fn unanswered(hears: u64, age: u32) -> Coordinator {
     let mut node = newborn();
     let empty = || Update::Whole {
-        at: Revision(9),
+        at: Revision::new(9),
         items: Vec::new(),
     };
     node.instances(at(10_000), empty());
     let routes = vec![configuration(9, &[("till", 1)])];
     let routes = Update::Whole {
-        at: Revision(9),
+        at: Revision::new(9),
         items: routes,
     };
     node.configurations(at(10_000), routes);
@@ -343,8 +343,8 @@
     }
     let heartbeat = |number: u8| Heartbeat {
         versions: Versions {
-            configuration: Revision(20),
-            configuration_as_of: Revision(20),
+            configuration: Revision::new(20),
+            configuration_as_of: Revision::new(20),
             ..node.replica().versions()
         },
         leaving: false,
@@ -402,12 +402,12 @@
 fn fetches_on_hearing(node: &mut Coordinator, now: u64, from: usize) -> Vec<SocketAddrV4> {
     let heartbeat = Heartbeat {
         versions: Versions {
-            configuration: Revision(9),
-            configuration_as_of: Revision(9),
-            directory_changed_at: Revision(9),
-            directory_as_of: Revision(9),
-            zones_changed_at: Revision(1),
-            zones_as_of: Revision(1),
+            configuration: Revision::new(9),
+            configuration_as_of: Revision::new(9),
+            directory_changed_at: Revision::new(9),
+            directory_as_of: Revision::new(9),
+            zones_changed_at: Revision::new(1),
+            zones_as_of: Revision::new(1),
         },
         leaving: false,
         peers_know: false,
@@ -608,12 +608,12 @@
     let mut exchange = Exchange::new(settings, address(0), Vec::new(), 1);
     let heartbeat = |directory: u64| Heartbeat {
         versions: Versions {
-            configuration: Revision(9),
-            configuration_as_of: Revision(9),
-            directory_changed_at: Revision(directory),
-            directory_as_of: Revision(directory),
-            zones_changed_at: Revision(1),
-            zones_as_of: Revision(1),
+            configuration: Revision::new(9),
+            configuration_as_of: Revision::new(9),
+            directory_changed_at: Revision::new(directory),
+            directory_as_of: Revision::new(directory),
+            zones_changed_at: Revision::new(1),
+            zones_as_of: Revision::new(1),
         },
         leaving: false,
         peers_know: false,
@@ -627,7 +627,7 @@
     let mut hear = |now, from, directory| {
         let own = Versions::default();
         let behind =
-            |versions: Versions| !versions.is_empty() || versions.configuration > Revision(0);
+            |versions: Versions| !versions.is_empty() || versions.configuration > Revision::new(0);
         let message = heartbeat(directory);
         let effects = exchange.heartbeat(at(now), address(from), &message, own, behind);
         let fetches = effects.into_iter().filter_map(|effect| match effect {
--- a/crates/bellyoke-core/tests/cookie/exchange_zones.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -270,7 +270,7 @@
 }
 
 fn heartbeat_of(zone: u16, class: CapacityClass, revision: u64) -> Heartbeat {
-    let known = Revision(revision);
+    let known = Revision::new(revision);
     Heartbeat {
         versions: Versions {
             configuration: known,
--- a/crates/bellyoke-core/tests/cookie/follower.rs
+++ b/crates/bellyoke-core/tests/cookie/follower.rs
@@ -47,7 +47,7 @@
     Answer::Page {
         items: items.to_vec(),
         next_after: next_after.map(str::to_owned),
-        at: Revision(at),
+        at: Revision::new(at),
     }
 }
 
@@ -60,7 +60,7 @@
 
 fn watch(from: u64) -> Next {
     Next::Call(Read::Watch {
-        from: Revision(from),
+        from: Revision::new(from),
         wait: Duration::from_millis(750),
         freshness: Freshness::MayBeStale,
     })
@@ -72,14 +72,14 @@
     assert_eq!(harness.next(), list(None, Freshness::MayBeStale));
     let update = harness.answer(page(&[1, 2], None, 10));
     let whole = Update::Whole {
-        at: Revision(10),
+        at: Revision::new(10),
         items: vec![1, 2],
     };
     assert_eq!(update, Some(whole));
     assert_eq!(harness.next(), watch(10));
     let changes = Answer::Changes {
         events: vec![3],
-        at: Revision(12),
+        at: Revision::new(12),
     };
     assert!(harness.answer(changes).is_some());
     harness.now += 50;
@@ -93,7 +93,7 @@
     assert_eq!(harness.next(), list(Some("a"), Freshness::MayBeStale));
     let update = harness.answer(page(&[2], None, 15));
     let whole = Update::Whole {
-        at: Revision(10),
+        at: Revision::new(10),
         items: vec![1, 2],
     };
     assert_eq!(update, Some(whole));
@@ -110,7 +110,7 @@
     harness.answer(page(&[1], Some("a"), 10));
     let update = harness.answer(page(&[2], None, 7));
     let whole = Update::Whole {
-        at: Revision(7),
+        at: Revision::new(7),
         items: vec![1, 2],
     };
     assert_eq!(update, Some(whole));
@@ -128,9 +128,9 @@
 fn what_peers_told_makes_a_list_needless() {
     let mut harness = Harness::new();
     harness.answer(page(&[1], Some("one"), 10));
-    assert!(!harness.follower.is_needless(Revision(0)));
-    assert!(harness.follower.is_needless(Revision(12)));
-    harness.follower.skip_to(Revision(12));
+    assert!(!harness.follower.is_needless(Revision::new(0)));
+    assert!(harness.follower.is_needless(Revision::new(12)));
+    harness.follower.skip_to(Revision::new(12));
     assert_eq!(harness.next(), watch(12));
     assert_eq!(harness.answer(page(&[2], None, 11)), None, "it comes late");
 }
@@ -140,19 +140,19 @@
 fn a_list_after_forgotten_history_is_needed_until_peers_tell_more() {
     let mut harness = Harness::watching();
     harness.answer(Answer::HistoryGone);
-    harness.follower.skip_to(Revision(10));
+    harness.follower.skip_to(Revision::new(10));
     assert_eq!(harness.next(), list(None, Freshness::Newest));
     harness.answer(Answer::Throttled);
     harness.now = 5_000;
-    harness.follower.skip_to(Revision(10));
+    harness.follower.skip_to(Revision::new(10));
     assert_eq!(harness.next(), list(None, Freshness::MayBeStale));
-    harness.follower.skip_to(Revision(11));
+    harness.follower.skip_to(Revision::new(11));
     assert_eq!(harness.next(), watch(11));
 }
 
 fn newest_watch(from: u64) -> Next {
     Next::Call(Read::Watch {
-        from: Revision(from),
+        from: Revision::new(from),
         wait: Duration::from_secs(3),
         freshness: Freshness::Newest,
     })
@@ -171,7 +171,7 @@
     harness.now = 5_000;
     harness.answer(Answer::Changes {
         events: vec![1],
-        at: Revision(12),
+        at: Revision::new(12),
     });
     assert_eq!(harness.next(), Next::WaitUntil(at(5_050)));
     let plan = WatchPlan::Watch(Freshness::Newest);
@@ -186,7 +186,7 @@
     harness.now = 5_000;
     harness.answer(Answer::Changes {
         events: vec![],
-        at: Revision(12),
+        at: Revision::new(12),
     });
     assert_eq!(harness.next(), watch(12));
 }
@@ -199,8 +199,8 @@
         harness.follower.next(at(0), rest),
         Next::WaitUntil(at(4_000))
     );
-    harness.follower.skip_to(Revision(30));
-    harness.follower.skip_to(Revision(20));
+    harness.follower.skip_to(Revision::new(30));
+    harness.follower.skip_to(Revision::new(20));
     assert_eq!(harness.follower.next(at(4_000), rest), watch(30));
 }
 
@@ -222,7 +222,7 @@
     assert!(!harness.follower.is_usable());
     let changes = Answer::Changes {
         events: vec![],
-        at: Revision(10),
+        at: Revision::new(10),
     };
     harness.answer(changes);
     assert!(harness.follower.is_usable());
@@ -252,7 +252,7 @@
     let mut harness = Harness::watching();
     harness.answer(Answer::Changes {
         events: vec![],
-        at: Revision(4),
+        at: Revision::new(4),
     });
     assert_eq!(harness.next(), watch(10));
 }
@@ -263,7 +263,7 @@
     assert_eq!(
         harness.answer(Answer::Changes {
             events: vec![1],
-            at: Revision(4)
+            at: Revision::new(4)
         }),
         None
     );
@@ -354,7 +354,7 @@
     for (freshness, waits) in [(Freshness::MayBeStale, true), (Freshness::Newest, false)] {
         let mut harness = Harness::watching();
         let watch = Read::Watch {
-            from: Revision(10),
+            from: Revision::new(10),
             wait: Duration::from_millis(750),
             freshness,
         };
@@ -366,7 +366,7 @@
         assert_eq!(harness.next(), list(None, Freshness::Newest));
         assert!(harness.follower.is_usable());
         // Others have told meanwhile.
-        harness.follower.skip_to(Revision(12));
+        harness.follower.skip_to(Revision::new(12));
         assert!(matches!(harness.next(), Next::Call(Read::Watch { .. })));
     }
 }
--- a/crates/bellyoke-core/tests/cookie/forwarder.rs
+++ b/crates/bellyoke-core/tests/cookie/forwarder.rs
@@ -133,7 +133,7 @@
     replica.adopt_configuration(configuration(1, &[("till", 1)]));
     let decision = decide(&replica.table(), &opening(1, 0));
     assert_eq!(decision, Decision::Drop(DropReason::NotReady));
-    replica.replace_instances(at(0), Revision(1), Vec::new());
+    replica.replace_instances(at(0), Revision::new(1), Vec::new());
     let decision = decide(&replica.table(), &opening(1, 0));
     assert_eq!(decision, Decision::Refuse(RefusalReason::NoInstance));
 }
@@ -161,7 +161,7 @@
 #[test]
 fn an_instance_whose_record_went_keeps_its_flows() {
     let mut replica = node(vec![record(1, 1), record(2, 1)]);
-    replica.replace_instances(at(100), Revision(20), vec![record(2, 1)]);
+    replica.replace_instances(at(100), Revision::new(20), vec![record(2, 1)]);
     let table = replica.table();
     let cookie = Cookie::of(InstanceId(1));
     assert_eq!(followed(decide(&table, &later(1, cookie))), InstanceId(1));
@@ -170,7 +170,7 @@
 #[test]
 fn an_instance_whose_record_just_went_is_the_last_resort_for_a_while() {
     let mut replica = node(vec![record(1, 1)]);
-    replica.replace_instances(at(9_000), Revision(20), Vec::new());
+    replica.replace_instances(at(9_000), Revision::new(20), Vec::new());
     let table = replica.table();
     let mut forwarder = forwarder();
     let decision = forwarder.decide(at(10_499), &table, &opening(1, 0), false);
@@ -290,7 +290,7 @@
     ) {
         let mut replica = node(before.iter().map(|id| record(*id, 1)).collect());
         let (instance, cookie, _) = placed(decide(&replica.table(), &opening(number, 0)));
-        replica.replace_instances(at(5_000), Revision(20), after.iter().map(|id| record(*id, 20)).collect());
+        replica.replace_instances(at(5_000), Revision::new(20), after.iter().map(|id| record(*id, 20)).collect());
         replica.adopt_configuration(configuration(30, &[]));
         prop_assert_eq!(followed(decide(&replica.table(), &later(number, cookie))), instance);
     }
@@ -312,7 +312,11 @@
             let replaced = usize::try_from(second / 3).unwrap();
             let gone = Cookie::of(records[replaced].id);
             records[replaced] = record(100 + second, 20 + second);
-            replica.replace_instances(at(second * 1_000), Revision(20 + second), records.clone());
+            replica.replace_instances(
+                at(second * 1_000),
+                Revision::new(20 + second),
+                records.clone(),
+            );
             table = replica.table();
             for flow in flows
                 .iter_mut()
--- a/crates/bellyoke-core/tests/cookie/locality.rs
+++ b/crates/bellyoke-core/tests/cookie/locality.rs
@@ -134,7 +134,7 @@
         let instances = instances.collect();
         let mut replica = Replica::new(TOMBSTONE_LIFETIME);
         replica.adopt_configuration(configuration(1, &[("till", 1)]));
-        replica.replace_instances(at(0), Revision(10), records);
+        replica.replace_instances(at(0), Revision::new(10), records);
         let names = if load.knows_zones { ZONES } else { [""; 3] };
         let all_nodes: u32 = load.nodes.iter().sum();
         let nodes = (0..3).flat_map(|zone| {
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -23,12 +23,12 @@
     };
     Heartbeat {
         versions: Versions {
-            configuration: Revision(u64::MAX),
-            configuration_as_of: Revision(u64::MAX),
-            directory_changed_at: Revision(7),
-            directory_as_of: Revision(9),
-            zones_changed_at: Revision(u64::MAX),
-            zones_as_of: Revision(u64::MAX),
+            configuration: Revision::new(u64::MAX),
+            configuration_as_of: Revision::new(u64::MAX),
+            directory_changed_at: Revision::new(7),
+            directory_as_of: Revision::new(9),
+            zones_changed_at: Revision::new(u64::MAX),
+            zones_as_of: Revision::new(u64::MAX),
         },
         leaving: false,
         peers_know: false,
@@ -121,7 +121,7 @@
 #[test]
 fn a_snapshot_comes_back_as_it_was() {
     let mut replica = node(vec![record(1, 1), record(2, 2)]);
-    replica.replace_instances(at(5), Revision(20), vec![record(2, 2)]);
+    replica.replace_instances(at(5), Revision::new(20), vec![record(2, 2)]);
     let snapshot = replica.snapshot(at(100));
     let key = PeerKey::new([7; 32]);
     let bytes = encode_snapshot(&snapshot, &key).unwrap();
@@ -145,9 +145,9 @@
         .collect();
     replica.adopt_configuration(configuration);
     let records = (1..=instances).map(|id| of_service("till-service", record(id, 40 + id)));
-    replica.replace_instances(at(5), Revision(2_000), records.collect());
+    replica.replace_instances(at(5), Revision::new(2_000), records.collect());
     let left = (1..instances).map(|id| of_service("till-service", record(id, 40 + id)));
-    replica.replace_instances(at(6), Revision(2_001), left.collect());
+    replica.replace_instances(at(6), Revision::new(2_001), left.collect());
     replica.snapshot(at(7))
 }
 
@@ -175,7 +175,7 @@
         record
     });
     snapshot.directory = Some(DirectoryPart::Whole(DirectorySnapshot {
-        as_of: Revision(50_000),
+        as_of: Revision::new(50_000),
         records: records.collect(),
     }));
     let key = PeerKey::default();
@@ -208,7 +208,7 @@
     let mut replica = node(Vec::new());
     let before = replica.versions();
     let events = (1..=records).map(|id| InstanceEvent::Put(record(id, 10 + id)));
-    replica.apply_instances(at(5), Revision(2_000), events.collect());
+    replica.apply_instances(at(5), Revision::new(2_000), events.collect());
     DeltaMessage {
         versions: replica.versions(),
         delta: replica.delta_for(at(5), before).unwrap(),
@@ -318,17 +318,17 @@
     let gone = (15..30).map(|number| Tombstone {
         record: record(number * 0x9e37_79b1 % 0xffff_ffff, 30_000 + number),
         age_milliseconds: 40,
-        revision: Revision(40_020),
+        revision: Revision::new(40_020),
     });
     let message = DeltaMessage {
         versions: heartbeat(0).versions,
         delta: StateDelta {
             directory: Some(DirectoryDelta {
-                since: Revision(40_000),
-                as_of: Revision(40_020),
+                since: Revision::new(40_000),
+                as_of: Revision::new(40_020),
                 gaps: vec![RevisionGap {
-                    from: Revision(40_001),
-                    to: Revision(40_009),
+                    from: Revision::new(40_001),
+                    to: Revision::new(40_009),
                 }],
                 records: records.collect(),
                 gone: gone.collect(),
--- a/crates/bellyoke-core/tests/cookie/placement.rs
+++ b/crates/bellyoke-core/tests/cookie/placement.rs
@@ -166,13 +166,17 @@
     let first = record(5, 1);
     let second = record((1 << 32) | 4, 2);
     let mut replica = node(vec![first]);
-    replica.replace_instances(at(100), Revision(20), vec![record(5, 1), second.clone()]);
+    replica.replace_instances(
+        at(100),
+        Revision::new(20),
+        vec![record(5, 1), second.clone()],
+    );
     let table = replica.table();
     for number in 0..100 {
         assert_eq!(choose(&table, number, 0), Some(InstanceId(5)));
     }
     // Its record goes, but its flows may live on: the cookie stays its own.
-    replica.replace_instances(at(200), Revision(30), vec![second]);
+    replica.replace_instances(at(200), Revision::new(30), vec![second]);
     let cookie = bellyoke_core::cookie::instance::Cookie::of(InstanceId(5));
     let table = replica.table();
     assert_eq!(table.destination(cookie).unwrap().instance, InstanceId(5));
--- a/crates/bellyoke-core/tests/cookie/reachability.rs
+++ b/crates/bellyoke-core/tests/cookie/reachability.rs
@@ -244,7 +244,7 @@
     let mut replica = Replica::new(TOMBSTONE_LIFETIME);
     replica.adopt_configuration(configuration(1, &[("till", 1)]));
     let records: Vec<InstanceRecord> = (1..=8).map(|id| record(id, id)).collect();
-    replica.replace_instances(at(0), Revision(10), records);
+    replica.replace_instances(at(0), Revision::new(10), records);
     let mut coordinator = Coordinator::new(replica, exchange);
     let heartbeat = Heartbeat {
         versions: Versions::default(),
@@ -335,7 +335,7 @@
         ..record(9, 20)
     };
     let update = Update::Changes {
-        at: Revision(20),
+        at: Revision::new(20),
         events: vec![InstanceEvent::Put(successor)],
     };
     node.instances(at(now), update);
--- a/crates/bellyoke-core/tests/cookie/replica.rs
+++ b/crates/bellyoke-core/tests/cookie/replica.rs
@@ -13,7 +13,7 @@
 #[test]
 fn a_node_that_starts_without_the_store_learns_all_from_a_peer() {
     let mut peer = node(vec![record(1, 1), record(2, 2)]);
-    peer.replace_instances(at(5), Revision(20), vec![record(2, 2)]);
+    peer.replace_instances(at(5), Revision::new(20), vec![record(2, 2)]);
     let mut newborn = empty();
     let change = newborn.merge(at(900_000), peer.snapshot(at(1_000)));
     assert!(change.configuration && change.directory);
@@ -25,14 +25,18 @@
 fn a_peer_is_sent_only_what_it_lacks() {
     let mut ahead = node(vec![record(1, 1), record(2, 2)]);
     let known = node(vec![record(1, 1), record(2, 2)]).versions();
-    ahead.apply_instances(at(5), Revision(20), vec![InstanceEvent::Put(record(3, 20))]);
-    let snapshot = ahead.snapshot_for(at(5), known, Revision(0));
+    ahead.apply_instances(
+        at(5),
+        Revision::new(20),
+        vec![InstanceEvent::Put(record(3, 20))],
+    );
+    let snapshot = ahead.snapshot_for(at(5), known, Revision::new(0));
     assert_eq!(snapshot.configuration, None);
     let Some(DirectoryPart::Changes(delta)) = snapshot.directory else {
         panic!("{:?}", snapshot.directory);
     };
     assert_eq!(delta.records, [record(3, 20)]);
-    let nothing = ahead.snapshot_for(at(5), ahead.versions(), Revision(0));
+    let nothing = ahead.snapshot_for(at(5), ahead.versions(), Revision::new(0));
     assert_eq!((nothing.configuration, nothing.directory), (None, None));
 }
 
@@ -42,11 +46,11 @@
     let mut ahead = node((1..=100).map(|id| record(id, 1)).collect());
     for id in 1..=99 {
         let gone = vec![InstanceEvent::Gone(InstanceId(id))];
-        ahead.apply_instances(at(id), Revision(10 + id), gone);
+        ahead.apply_instances(at(id), Revision::new(10 + id), gone);
     }
     let mut known = ahead.versions();
-    known.directory_as_of = Revision(108);
-    known.directory_changed_at = Revision(108);
+    known.directory_as_of = Revision::new(108);
+    known.directory_changed_at = Revision::new(108);
     let snapshot = ahead.snapshot_for(at(200), known, known.directory_as_of);
     let gone: Vec<u64> = snapshot
         .tombstones
@@ -101,13 +105,13 @@
 fn who_is_not_behind_a_peer_knows_as_far_as_it_does() {
     let mut replica = node(vec![record(1, 1)]);
     let mut peer = node(vec![record(1, 1)]);
-    peer.apply_instances(at(0), Revision(15), Vec::new());
-    peer.confirm_configuration(Revision(17));
+    peer.apply_instances(at(0), Revision::new(15), Vec::new());
+    peer.confirm_configuration(Revision::new(17));
     replica.confirm(peer.versions());
     assert_eq!(replica.versions(), peer.versions());
     peer.adopt_configuration(configuration(20, &[]));
     replica.confirm(peer.versions());
-    assert_eq!(replica.versions().configuration_as_of, Revision(17));
+    assert_eq!(replica.versions().configuration_as_of, Revision::new(17));
 }
 
 #[test]
@@ -116,7 +120,7 @@
     replica.adopt_configuration(configuration(9, &[("listings", 1)]));
     let mut older = empty();
     older.adopt_configuration(configuration(3, &[("till", 1)]));
-    older.replace_instances(at(0), Revision(4), vec![record(1, 2), record(2, 4)]);
+    older.replace_instances(at(0), Revision::new(4), vec![record(1, 2), record(2, 4)]);
     let before = replica.snapshot(at(0));
     let change = replica.merge(at(0), older.snapshot(at(0)));
     assert!(!change.any());
@@ -128,7 +132,7 @@
     let replica = node(vec![record(1, 1)]);
     let mut peer = node(vec![record(1, 1)]);
     assert!(!replica.is_behind(peer.versions()));
-    peer.replace_instances(at(0), Revision(11), vec![]);
+    peer.replace_instances(at(0), Revision::new(11), vec![]);
     assert!(replica.is_behind(peer.versions()));
     assert!(!peer.is_behind(replica.versions()));
     let mut newer = empty();
@@ -141,7 +145,7 @@
 fn a_revision_without_changes_puts_nobody_behind() {
     let replica = node(vec![record(1, 1)]);
     let mut peer = node(vec![record(1, 1)]);
-    peer.apply_instances(at(0), Revision(15), Vec::new());
+    peer.apply_instances(at(0), Revision::new(15), Vec::new());
     assert!(!replica.is_behind(peer.versions()));
 }
 
@@ -153,7 +157,7 @@
             replica.adopt_configuration(configuration(configuration_at, &[("till", 1)]));
             let live = directory_at.saturating_sub(2).max(1)..=directory_at;
             let records = live.map(|id| record(id, id)).collect();
-            replica.replace_instances(at(0), Revision(directory_at), records);
+            replica.replace_instances(at(0), Revision::new(directory_at), records);
             replica.snapshot(at(0))
         };
         revisions.into_iter().map(snapshot).collect()
--- a/crates/bellyoke-core/tests/cookie/restarts.rs
+++ b/crates/bellyoke-core/tests/cookie/restarts.rs
@@ -36,7 +36,7 @@
 
 fn directory() -> Directory {
     let mut directory = Directory::new(TOMBSTONE_LIFETIME);
-    directory.replace(at(0), Revision(10), vec![run(1_000, 5), record(2, 6)]);
+    directory.replace(at(0), Revision::new(10), vec![run(1_000, 5), record(2, 6)]);
     directory
 }
 
@@ -48,23 +48,31 @@
 #[test]
 fn a_late_write_of_an_earlier_run_changes_nothing() {
     let mut directory = directory();
-    directory.apply(at(100), Revision(20), put(run(2_000, 20)));
+    directory.apply(at(100), Revision::new(20), put(run(2_000, 20)));
     assert_eq!(directory.take_restarted(), [INSTANCE]);
     let moved = InstanceRecord {
         address: record(3, 1).address,
         ..run(1_000, 30)
     };
-    assert!(!directory.apply(at(200), Revision(30), put(moved.clone())));
+    assert!(!directory.apply(at(200), Revision::new(30), put(moved.clone())));
     assert_eq!(started(&directory), Some(2_000));
     // Nor does a list that holds it, or one after its record went.
-    directory.replace(at(300), Revision(40), vec![moved.clone(), record(2, 6)]);
+    directory.replace(
+        at(300),
+        Revision::new(40),
+        vec![moved.clone(), record(2, 6)],
+    );
     assert_eq!(started(&directory), Some(2_000));
-    directory.apply(at(400), Revision(50), vec![InstanceEvent::Gone(INSTANCE)]);
+    directory.apply(
+        at(400),
+        Revision::new(50),
+        vec![InstanceEvent::Gone(INSTANCE)],
+    );
     directory.apply(
         at(500),
-        Revision(60),
+        Revision::new(60),
         put(InstanceRecord {
-            revision: Revision(60),
+            revision: Revision::new(60),
             ..moved
         }),
     );
@@ -76,19 +84,23 @@
 #[test]
 fn a_later_run_counts_from_its_own_creation() {
     let mut directory = directory();
-    directory.apply(at(100), Revision(20), vec![InstanceEvent::Gone(INSTANCE)]);
+    directory.apply(
+        at(100),
+        Revision::new(20),
+        vec![InstanceEvent::Gone(INSTANCE)],
+    );
     let between = InstanceRecord {
         address: record(INSTANCE.0, 1).address,
         ..record(9, 30)
     };
-    directory.apply(at(200), Revision(30), put(between));
-    directory.apply(at(300), Revision(40), put(run(2_000, 40)));
+    directory.apply(at(200), Revision::new(30), put(between));
+    directory.apply(at(300), Revision::new(40), put(run(2_000, 40)));
     assert_eq!(*directory.succeeded(), BTreeSet::from([InstanceId(9)]));
     // A peer that remembers the earlier run tells of its creation.
     let tombstone = Tombstone {
         record: run(1_000, 5),
         age_milliseconds: 0,
-        revision: Revision(20),
+        revision: Revision::new(20),
     };
     directory.learn_tombstones(at(400), vec![tombstone]);
     assert_eq!(*directory.succeeded(), BTreeSet::from([InstanceId(9)]));
@@ -100,13 +112,13 @@
     let mut replica = Replica::new(TOMBSTONE_LIFETIME);
     replica.adopt_configuration(configuration(1, &[("till", 1)]));
     let records = (2..9).map(|id| record(id, id)).chain([run(1_000, 5)]);
-    replica.replace_instances(at(0), Revision(10), records.collect());
+    replica.replace_instances(at(0), Revision::new(10), records.collect());
     Coordinator::new(replica, exchange)
 }
 
 fn start_again(node: &mut Coordinator, now: u64) {
     let update = Update::Changes {
-        at: Revision(20),
+        at: Revision::new(20),
         events: put(run(2_000, 20)),
     };
     node.instances(at(now), update);
@@ -150,7 +162,7 @@
     suitability(1_000, &replica, 1);
     suitability(1_001, &replica, 2);
     assert_eq!(suitability(1_300, &replica, 3), Suitability::Suspected);
-    replica.apply_instances(at(1_400), Revision(20), put(run(2_000, 20)));
+    replica.apply_instances(at(1_400), Revision::new(20), put(run(2_000, 20)));
     assert_eq!(suitability(1_400, &replica, 4), Suitability::Full);
 }
 
--- a/crates/bellyoke-core/tests/cookie/spread.rs
+++ b/crates/bellyoke-core/tests/cookie/spread.rs
@@ -18,11 +18,11 @@
 
 /// The store tells the nodes that watch it of a batch of changes.
 fn replace(cluster: &mut Cluster, batch: u64) -> Revision {
-    let revision = Revision(INSTANCES + 100 * (batch + 1));
+    let revision = Revision::new(INSTANCES + 100 * (batch + 1));
     let first = batch * REPLACED + 1;
     let gone = (first..first + REPLACED).map(|id| InstanceEvent::Gone(InstanceId(id)));
     let new = first + INSTANCES..first + INSTANCES + REPLACED;
-    let new = new.map(|id| InstanceEvent::Put(record(id, revision.0)));
+    let new = new.map(|id| InstanceEvent::Put(record(id, revision.number())));
     let events: Vec<InstanceEvent> = gone.chain(new).collect();
     let now = at(cluster.now);
     let mut watchers = cluster.with_duty(StoreDuty::Reader);
--- a/crates/bellyoke-core/tests/cookie/support.rs
+++ b/crates/bellyoke-core/tests/cookie/support.rs
@@ -20,13 +20,13 @@
     let low = u16::try_from(id % 60_000).unwrap();
     InstanceRecord {
         id: InstanceId(id),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
         service: "till".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 2_000 + low),
         zone: "cork".to_owned(),
         state: InstanceState::Ready,
         cold_remaining_milliseconds: 0,
-        created: Some(Revision(revision)),
+        created: Some(Revision::new(revision)),
         slots: 2,
         started: None,
     }
@@ -52,7 +52,7 @@
         weight: *weight,
     });
     Configuration {
-        revision: Revision(revision),
+        revision: Revision::new(revision),
         version: revision,
         routes: vec![Route {
             address: SERVICE,
@@ -68,7 +68,7 @@
 pub fn node(records: Vec<InstanceRecord>) -> Replica {
     let mut replica = Replica::new(TOMBSTONE_LIFETIME);
     replica.adopt_configuration(configuration(1, &[("till", 1)]));
-    replica.replace_instances(at(0), Revision(10), records);
+    replica.replace_instances(at(0), Revision::new(10), records);
     replica
 }
 
--- a/crates/bellyoke-core/tests/cookie/zone_choice.rs
+++ b/crates/bellyoke-core/tests/cookie/zone_choice.rs
@@ -24,7 +24,7 @@
     });
     let mut replica = Replica::new(TOMBSTONE_LIFETIME);
     replica.adopt_configuration(configuration(1, &[("till", 1)]));
-    replica.replace_instances(at(0), Revision(revision), records.collect());
+    replica.replace_instances(at(0), Revision::new(revision), records.collect());
     replica.table()
 }
 
--- a/crates/bellyoke-core/tests/cookie/zones.rs
+++ b/crates/bellyoke-core/tests/cookie/zones.rs
@@ -19,7 +19,7 @@
 fn drained(zone: &str, revision: u64) -> DrainedZone {
     DrainedZone {
         zone: zone.to_owned(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
@@ -45,8 +45,8 @@
         in_zone("cork", record(1, 1)),
         in_zone("kerry", record(2, 2)),
     ];
-    replica.replace_instances(at(0), Revision(10), records);
-    replica.replace_zones(at(0), Revision(10), Vec::new());
+    replica.replace_instances(at(0), Revision::new(10), records);
+    replica.replace_zones(at(0), Revision::new(10), Vec::new());
     replica
 }
 
@@ -76,7 +76,7 @@
     let mut replica = node();
     replica.apply_zones(
         at(5),
-        Revision(20),
+        Revision::new(20),
         vec![ZoneEvent::Drained(drained("cork", 20))],
     );
     let found = destinations(&replica, 10);
@@ -87,7 +87,7 @@
 #[test]
 fn open_flows_of_a_drained_zone_stay() {
     let mut replica = node();
-    replica.replace_zones(at(5), Revision(20), vec![drained("cork", 20)]);
+    replica.replace_zones(at(5), Revision::new(20), vec![drained("cork", 20)]);
     let cookie = Cookie::of(InstanceId(1));
     let mut forwarder = Forwarder::new(HealthSettings::default());
     let decision = forwarder.decide(at(10), &replica.table(), &later(3, cookie), false);
@@ -100,12 +100,12 @@
 fn a_flow_with_no_place_but_drained_zones_is_refused_at_once() {
     let mut replica = node();
     let zones = vec![drained("cork", 20), drained("kerry", 21)];
-    replica.replace_zones(at(5), Revision(21), zones);
+    replica.replace_zones(at(5), Revision::new(21), zones);
     assert!(destinations(&replica, 10).iter().all(Option::is_none));
     // Not even an instance whose record has just gone is taken instead.
     replica.apply_instances(
         at(6),
-        Revision(22),
+        Revision::new(22),
         vec![InstanceEvent::Gone(InstanceId(1))],
     );
     assert!(destinations(&replica, 10).iter().all(Option::is_none));
@@ -114,9 +114,9 @@
 #[test]
 fn a_restored_zone_is_cold_until_a_newer_record_says_otherwise() {
     let mut replica = node();
-    replica.replace_zones(at(5), Revision(20), vec![drained("cork", 20)]);
+    replica.replace_zones(at(5), Revision::new(20), vec![drained("cork", 20)]);
     let restored = vec![ZoneEvent::Restored("cork".to_owned())];
-    replica.apply_zones(at(1_000), Revision(30), restored);
+    replica.apply_zones(at(1_000), Revision::new(30), restored);
     let only_full = |replica: &Replica, now| {
         let found = destinations(replica, now);
         found.iter().all(|found| {
@@ -128,7 +128,7 @@
     assert!(only_full(&replica, 1_100), "cold right after");
     assert!(!only_full(&replica, 3_100), "warm after two seconds");
     let newer = vec![InstanceEvent::Put(in_zone("cork", record(1, 31)))];
-    replica.apply_instances(at(1_200), Revision(31), newer);
+    replica.apply_instances(at(1_200), Revision::new(31), newer);
     assert!(
         !only_full(&replica, 1_300),
         "its record says that it is warm"
@@ -138,23 +138,23 @@
 #[test]
 fn what_a_node_knows_of_zones_never_goes_back() {
     let mut zones = ZoneDrains::unknown();
-    assert!(zones.replace(at(1), Revision(20), vec![drained("cork", 15)]));
+    assert!(zones.replace(at(1), Revision::new(20), vec![drained("cork", 15)]));
     assert!(
-        !zones.replace(at(2), Revision(19), Vec::new()),
+        !zones.replace(at(2), Revision::new(19), Vec::new()),
         "older list"
     );
     let restored = vec![ZoneEvent::Restored("cork".to_owned())];
     assert!(
-        !zones.apply(at(3), Revision(20), restored.clone()),
+        !zones.apply(at(3), Revision::new(20), restored.clone()),
         "no newer"
     );
     assert!(zones.is_drained("cork"));
     let mut peer = ZoneDrains::unknown();
-    peer.replace(at(1), Revision(10), Vec::new());
+    peer.replace(at(1), Revision::new(10), Vec::new());
     let old = peer.snapshot(at(1)).unwrap();
     assert!(!zones.adopt(at(4), old), "a peer that knows less");
     assert!(zones.is_drained("cork"));
-    assert!(zones.apply(at(5), Revision(25), restored));
+    assert!(zones.apply(at(5), Revision::new(25), restored));
     assert!(!zones.is_drained("cork"));
 }
 
@@ -163,12 +163,12 @@
 #[test]
 fn a_whole_list_is_news_for_who_knows_less() {
     let mut zones = ZoneDrains::unknown();
-    zones.replace(at(1), Revision(20), Vec::new());
+    zones.replace(at(1), Revision::new(20), Vec::new());
     let mut peer = ZoneDrains::unknown();
-    peer.replace(at(1), Revision(20), Vec::new());
+    peer.replace(at(1), Revision::new(20), Vec::new());
     let drain = vec![ZoneEvent::Drained(drained("cork", 25))];
-    peer.apply(at(2), Revision(25), drain);
-    zones.replace(at(3), Revision(30), Vec::new());
+    peer.apply(at(2), Revision::new(25), drain);
+    zones.replace(at(3), Revision::new(30), Vec::new());
     assert!(peer.adopt(at(4), zones.snapshot(at(4)).unwrap()));
     assert!(!peer.is_drained("cork"));
     assert!(peer.restoration("cork").is_some());
@@ -177,8 +177,8 @@
 #[test]
 fn restorations_are_told_with_their_age_and_forgotten() {
     let mut zones = ZoneDrains::unknown();
-    zones.replace(at(1_000), Revision(20), vec![drained("cork", 15)]);
-    zones.replace(at(5_000), Revision(30), Vec::new());
+    zones.replace(at(1_000), Revision::new(20), vec![drained("cork", 15)]);
+    zones.replace(at(5_000), Revision::new(30), Vec::new());
     let mut newborn = ZoneDrains::unknown();
     newborn.adopt(at(9_000), zones.snapshot(at(7_000)).unwrap());
     let restoration = newborn.restoration("cork").unwrap();
@@ -193,11 +193,11 @@
 fn a_node_takes_no_flows_before_it_knows_the_drained_zones() {
     let mut replica = Replica::reading_zones(TOMBSTONE_LIFETIME);
     replica.adopt_configuration(configuration(1, &[("till", 1)]));
-    replica.replace_instances(at(0), Revision(10), vec![record(1, 1)]);
+    replica.replace_instances(at(0), Revision::new(10), vec![record(1, 1)]);
     let lifecycle = Lifecycle::new(Duration::from_secs(1));
     assert_eq!(lifecycle.ready(replica.versions()), Err(Unready::NoZones));
     assert!(!replica.table().is_informed());
-    replica.replace_zones(at(1), Revision(11), Vec::new());
+    replica.replace_zones(at(1), Revision::new(11), Vec::new());
     assert_eq!(lifecycle.ready(replica.versions()), Ok(()));
     assert!(replica.table().is_informed());
 }
@@ -219,14 +219,14 @@
     let mut peer = coordinator(2);
     for node in [&mut teller, &mut peer] {
         let none = Update::Whole {
-            at: Revision(10),
+            at: Revision::new(10),
             items: Vec::new(),
         };
         node.zones(at(90_000), none);
     }
     let known = peer.replica().versions();
     let drain = Update::Changes {
-        at: Revision(20),
+        at: Revision::new(20),
         events: vec![ZoneEvent::Drained(drained("cork", 20))],
     };
     assert!(teller.zones(at(90_001), drain).change.zones);
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -293,7 +293,7 @@
     let own = (0..services).map(|index| route(service_address(index), index));
     let probe = probe.map(|index| route(PROBE_ADDRESS, index));
     Configuration {
-        revision: bellyoke_core::cookie::revision::Revision(0),
+        revision: bellyoke_core::cookie::revision::Revision::new(0),
         version,
         routes: own.chain(probe).collect(),
         limits: Vec::new(),
--- a/crates/bellyoke-lab/src/cookie/store.rs
+++ b/crates/bellyoke-lab/src/cookie/store.rs
@@ -96,12 +96,12 @@
             mode: StoreMode::Up,
             page: 50,
             staleness: Duration::ZERO,
-            revision: Revision(1),
+            revision: Revision::new(1),
             instances: BTreeMap::new(),
             configuration: None,
             drained_zones: BTreeMap::new(),
             history: VecDeque::new(),
-            forgotten: Revision(0),
+            forgotten: Revision::new(0),
             copy: None,
         }
     }
@@ -243,7 +243,7 @@
     }
 
     fn advance(&mut self) -> Revision {
-        self.revision = Revision(self.revision.0 + 1);
+        self.revision = Revision::new(self.revision.number() + 1);
         self.revision
     }
 
--- a/crates/bellyoke-lab/src/cookie/target.rs
+++ b/crates/bellyoke-lab/src/cookie/target.rs
@@ -54,7 +54,7 @@
     pub fn record(&self, address: SocketAddrV4, zone: String) -> InstanceRecord {
         InstanceRecord {
             id: self.id,
-            revision: Revision(0),
+            revision: Revision::new(0),
             service: self.service.clone(),
             address,
             zone,
