Order what nodes know by the store's era before its revision

What callers saw: a target that had said that it drains went on getting new flows for more than 3 s, and a route that a confirmed configuration had dropped was served for more than 5 s.

Cause: the store had come back from a copy some seconds old, and gave revisions out again. Nodes ordered news by the number alone: a drain and a configuration with numbers that they held already were taken for old, and each watch went on from the number that was known, past them.

Now each answer's revisions are of the era that the store tells with it. Where it tells none, a list that must tell the newest state and is below what was known when it was asked for begins a new era. Followers list anew in a new era, no delta joins two eras, and answers of an earlier era change nothing. What a copy tells is no newer for having a later revision: configurations are ordered by the operators' number; a run of an instance that drained or went doesn't take flows again on a copy's word; drained zones stay drained for 5 s, for operators to write it again.

Why it works: the store's counter is no order across a restoration, the pair of era and counter is one, and what writers number themselves needs no counter.

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -7,16 +7,17 @@
 mod probing;
 
 use crate::cookie::capacity::BusyDetector;
+use crate::cookie::era::{CallContext, EraTracker, Standing};
 use crate::cookie::exchange::{
     DeltaMessage, Exchange, ExchangeEffect, FetchRequest, Heartbeat, PeerDatagram, StoreDuty,
 };
-use crate::cookie::follower::{Update, WatchPlan};
+use crate::cookie::follower::{Freshness, Read, Reply, Update, WatchPlan};
 use crate::cookie::freshness::ObjectKind;
 use crate::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
 use crate::cookie::outliers::OutlierSettings;
 use crate::cookie::reachability::ReachabilityMonitor;
 use crate::cookie::replica::{Replica, Snapshot, StateChange, Versions};
-use crate::cookie::revision::Revision;
+use crate::cookie::revision::{Revision, StoreEra};
 use crate::cookie::route::Configuration;
 use crate::cookie::stall::StallDetector;
 use crate::cookie::zones::{DrainedZone, ZoneEvent};
@@ -58,6 +59,7 @@
 pub struct Coordinator {
     replica: Replica,
     exchange: Exchange,
+    eras: EraTracker,
     stall: StallDetector,
     busy: BusyDetector,
     link_is_paced: bool,
@@ -78,6 +80,7 @@
             reachability: ReachabilityMonitor::new(exchange.origin()),
             replica,
             exchange,
+            eras: EraTracker::default(),
             stall: StallDetector::new(),
             busy: BusyDetector::default(),
             link_is_paced: false,
@@ -126,7 +129,35 @@
     #[must_use]
     pub fn watch_plan(&self, now: Timestamp, kind: ObjectKind) -> WatchPlan {
         let versions = self.replica.versions();
-        self.exchange.watch_plan(now, kind, versions)
+        match self.exchange.watch_plan(now, kind, versions) {
+            plan if !self.eras.was_restored_of_late(now) => plan,
+            plan @ WatchPlan::RestUntil(time) if now < time => plan,
+            WatchPlan::Watch(_) | WatchPlan::RestUntil(_) => WatchPlan::Watch(Freshness::Newest),
+        }
+    }
+
+    /// The latest era of the store that is known.
+    #[must_use]
+    pub const fn era(&self) -> StoreEra {
+        self.eras.era()
+    }
+
+    /// What to hand in with the reply to a call that begins now.
+    #[must_use]
+    pub fn call_context(&self) -> CallContext {
+        let known = self.replica.versions().latest();
+        self.eras.call_context(known)
+    }
+
+    /// What a reply of the store counts for. One that is not current must not be handed in otherwise.
+    pub fn judge_reply<Item, Event>(
+        &mut self,
+        now: Timestamp,
+        context: CallContext,
+        read: &Read,
+        reply: &Reply<Item, Event>,
+    ) -> Standing {
+        self.eras.judge(now, context, read, reply)
     }
 
     /// The revision up to which everything of a kind is known, wherever it came from.
@@ -236,6 +267,7 @@
     /// A snapshot that was fetched from a peer has come.
     pub fn snapshot(&mut self, now: Timestamp, from: SocketAddrV4, snapshot: Snapshot) -> Outcome {
         let before = self.replica.versions();
+        self.eras.note(now, snapshot.versions.latest().era());
         self.exchange.fetched(from, snapshot.versions);
         let change = self.replica.merge(now, snapshot);
         self.changed(now, before, change)
@@ -261,10 +293,7 @@
         if stalled.is_some() {
             self.reachability.stalled();
         }
-        let change = StateChange {
-            directory: self.replica.expire(now),
-            ..StateChange::default()
-        };
+        let change = self.replica.expire(now);
         if std::mem::take(&mut self.records_changed) || change.directory {
             self.note_records(now);
         }
@@ -329,6 +358,7 @@
     }
 
     fn heartbeat(&mut self, now: Timestamp, from: SocketAddrV4, heartbeat: &Heartbeat) -> Outcome {
+        self.eras.note(now, heartbeat.versions.latest().era());
         self.replica.confirm(heartbeat.versions);
         let replica = &self.replica;
         let behind = |versions| replica.is_behind(versions);
@@ -343,6 +373,7 @@
 
     fn delta(&mut self, now: Timestamp, from: SocketAddrV4, message: DeltaMessage) -> Outcome {
         let before = self.replica.versions();
+        self.eras.note(now, message.versions.latest().era());
         let change = self.replica.merge_delta(now, message.delta);
         self.replica.confirm(message.versions);
         self.exchange.note_versions(from, message.versions);
--- a/crates/bellyoke-core/src/cookie/delta.rs
+++ b/crates/bellyoke-core/src/cookie/delta.rs
@@ -59,8 +59,8 @@
 /// The changes from one configuration to the next.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct ConfigurationDelta {
-    /// Revision of the configuration that it applies to, and to no other.
-    pub since: Revision,
+    /// Version of the configuration that it applies to, and to no other.
+    pub since: u64,
     /// Revision of the configuration that results.
     pub revision: Revision,
     /// The operators' number for it.
@@ -106,7 +106,7 @@
             .keys()
             .filter(|address| !new_routes.contains_key(*address));
         Some(Self {
-            since: old.revision,
+            since: old.version,
             revision: new.revision,
             version: new.version,
             idle_timeout_milliseconds: new.idle_timeout_milliseconds,
@@ -120,7 +120,7 @@
     /// none if the delta is not one of `old`.
     #[must_use]
     pub fn apply(&self, old: &Configuration) -> Option<Configuration> {
-        if old.revision != self.since {
+        if old.version != self.since {
             return None;
         }
         let mut routes = routes_by_address(old)?;
--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -5,7 +5,7 @@
 //! known (a tombstone) for as long as a flow of its may live, and its flows go on.
 
 use crate::cookie::delta::{DirectoryDelta, RevisionGap};
-use crate::cookie::instance::{Cookie, InstanceEvent, InstanceId, InstanceRecord};
+use crate::cookie::instance::{Cookie, InstanceEvent, InstanceId, InstanceRecord, InstanceState};
 use crate::cookie::revision::Revision;
 use crate::time::Timestamp;
 use hashbrown::HashMap;
@@ -18,6 +18,10 @@
 /// service.
 pub const MAXIMUM_TOMBSTONES: usize = 65_536;
 
+/// How long an instance takes no new flows that was known to have gone, and of which a restored store tells: that may be
+/// older, and then the store drops the record again once the instance has missed some heartbeats.
+const RETURN_DOUBT: Duration = Duration::from_secs(5);
+
 /// Most gaps held; each is 16 bytes in each delta across it. A store that forgets its history does so every few seconds
 /// at the worst, and peers are seconds behind at most.
 const MAXIMUM_GAPS: usize = 8;
@@ -35,6 +39,8 @@
     pub gone_revision: Revision,
     /// Whether this node knew an earlier run of the instance.
     pub restarted: bool,
+    /// Until when it takes no new flows, as it may have ended before the store was restored.
+    pub doubted_until: Option<Timestamp>,
 }
 
 /// A gone instance as nodes tell each other of it.
@@ -77,6 +83,8 @@
     succeeded: OnceCell<BTreeSet<InstanceId>>,
     /// Instances that have started again since they were last asked for.
     restarted: Vec<InstanceId>,
+    /// When the first of [`KnownInstance::doubted_until`] is over, if there is one.
+    first_doubt_ends: Option<Timestamp>,
 }
 
 impl Directory {
@@ -93,6 +101,7 @@
             oldest_gone_at: None,
             succeeded: OnceCell::new(),
             restarted: Vec::new(),
+            first_doubt_ends: None,
         }
     }
 
@@ -363,6 +372,7 @@
                 gone_at: Some(gone_at),
                 gone_revision: tombstone.revision,
                 restarted: false,
+                doubted_until: None,
             };
             self.known.insert(id, instance);
             self.note_gone(gone_at);
@@ -371,8 +381,25 @@
         changed
     }
 
-    /// Forgets gone instances that can have no flow any more. Returns whether any was.
+    /// Forgets gone instances that can have no flow any more, and ends doubts. Returns whether there was any.
     pub fn expire(&mut self, now: Timestamp) -> bool {
+        let doubts_ended = self.end_doubts(now);
+        self.forget_gone(now) || doubts_ended
+    }
+
+    fn end_doubts(&mut self, now: Timestamp) -> bool {
+        if self.first_doubt_ends.is_none_or(|ends| now < ends) {
+            return false;
+        }
+        for known in self.known.values_mut() {
+            known.doubted_until = known.doubted_until.filter(|until| now < *until);
+        }
+        let doubts = self.known.values().filter_map(|known| known.doubted_until);
+        self.first_doubt_ends = doubts.min();
+        true
+    }
+
+    fn forget_gone(&mut self, now: Timestamp) -> bool {
         let before = self.known.len();
         let lifetime = self.tombstone_lifetime;
         let oldest = self.oldest_gone_at;
@@ -456,6 +483,9 @@
         let cold = Duration::from_millis(u64::from(record.cold_remaining_milliseconds));
         let mut restarted = false;
         if let Some(known) = self.known.get(&record.id) {
+            if is_of_another_era(&record, known) {
+                return self.put_across_eras(now, record);
+            }
             let is_known = known.gone_at.is_none() && known.record.revision >= record.revision;
             if is_known || is_of_earlier_run(&record, &known.record) {
                 return false;
@@ -473,12 +503,56 @@
             gone_at: None,
             gone_revision: Revision::new(0),
             restarted,
+            doubted_until: None,
             record,
         };
         self.known.insert(instance.record.id, instance);
         true
     }
 
+    /// Takes over a record of a run that is known from another era of the store. A copy may tell of a state that the instance
+    /// has left since: it doesn't take new flows again, nor does it start anew.
+    fn put_across_eras(&mut self, now: Timestamp, record: InstanceRecord) -> bool {
+        let Some(known) = self.known.get_mut(&record.id) else {
+            return false;
+        };
+        let drains = [record.state, known.record.state].contains(&InstanceState::Draining);
+        let state = if drains {
+            InstanceState::Draining
+        } else {
+            InstanceState::Ready
+        };
+        let created = earlier(known.record.created, record.created);
+        if record.revision < known.record.revision {
+            let changed = known.record.state != state;
+            known.record.state = state;
+            known.record.created = created;
+            return changed;
+        }
+        let told = InstanceRecord {
+            state,
+            created,
+            ..record
+        };
+        let returns = known.gone_at.is_some();
+        if !returns && tells_the_same(&told, &known.record) {
+            known.record.created = created;
+            return false;
+        }
+        if returns && known.gone_revision.era() < told.revision.era() {
+            let until = now.after(RETURN_DOUBT);
+            known.doubted_until = Some(until);
+            let first = self
+                .first_doubt_ends
+                .map_or(until, |first| first.min(until));
+            self.first_doubt_ends = Some(first);
+        }
+        known.gone_at = None;
+        known.gone_revision = Revision::new(0);
+        known.record = told;
+        true
+    }
+
     /// An instance is gone. One that came and went within one answer is known by its `record`
     /// there: a peer that asked in between may know it as present.
     fn remove(
@@ -513,6 +587,7 @@
                     gone_at: Some(now),
                     gone_revision: at,
                     restarted: false,
+                    doubted_until: None,
                 };
                 self.known.insert(id, instance);
                 self.note_gone(now);
@@ -590,6 +665,21 @@
     runs.is_some_and(|(started, other_started)| started < other_started)
 }
 
+/// Whether a record is of the run that is known, as told in another era of the store.
+fn is_of_another_era(record: &InstanceRecord, known: &KnownInstance) -> bool {
+    let same_run = record.started == known.record.started;
+    same_run && record.revision.era() != known.record.revision.era()
+}
+
+/// Whether two records of one run tell the same, but for their revisions.
+fn tells_the_same(one: &InstanceRecord, other: &InstanceRecord) -> bool {
+    one.service == other.service
+        && one.address == other.address
+        && one.zone == other.zone
+        && one.state == other.state
+        && one.slots == other.slots
+}
+
 /// The earlier of two creations, as far as they are known.
 fn earlier(one: Option<Revision>, other: Option<Revision>) -> Option<Revision> {
     match (one, other) {
--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -236,6 +236,8 @@
     /// Whether it may be answered from an older state. One whose history is gone may be that of a store that lags: others
     /// are told what is new, and a list each time costs the store 2.5 MB at 10,000 instances.
     asked_stale: bool,
+    /// The store's era. What was read in an earlier one is no place to go on from.
+    era: StoreEra,
 }
 
 impl<Item> Follower<Item> {
@@ -250,11 +252,29 @@
             changed_at: None,
             asked_at: None,
             asked_stale: false,
+            era: StoreEra(0),
+        }
+    }
+
+    /// The store is in this era, if no later one is known.
+    pub fn enter_era(&mut self, era: StoreEra) {
+        self.era = era.max(self.era);
+        if let Phase::Listing {
+            oldest_at: Some(at),
+            forgotten,
+            ..
+        } = self.phase
+            && at.era() < self.era
+        {
+            self.phase = Phase::list(Freshness::Newest, forgotten);
         }
     }
 
     /// A call begins.
-    pub const fn asked(&mut self, now: Timestamp, read: &Read) {
+    pub fn asked(&mut self, now: Timestamp, read: &Read) {
+        if let (Read::List { freshness, .. }, Phase::Watching { from }) = (read, &self.phase) {
+            self.phase = Phase::list(*freshness, *from);
+        }
         self.asked_at = Some(now);
         self.asked_stale = matches!(
             read,
@@ -315,11 +335,21 @@
         random: &mut impl Rng,
     ) -> Option<Update<Item, Event>> {
         match answer {
+            Answer::Page { at, .. } | Answer::Changes { at, .. } if at.era() < self.era => {
+                self.back_off(now, random);
+                None
+            }
+            Answer::Changes { at, .. } if at.era() != self.watched_from().era() => {
+                self.enter_era(at.era());
+                self.list_anew(now, random);
+                None
+            }
             Answer::Page {
                 items,
                 next_after,
                 at,
             } => {
+                self.enter_era(at.era());
                 self.failures = 0;
                 if next_after.is_some() && self.is_first_page() {
                     self.not_before = now.after(self.list_wait(now, random));
@@ -334,11 +364,7 @@
                 self.changes(events, at)
             }
             Answer::HistoryGone => {
-                let forgotten = self.watched_from();
-                self.phase = Phase::list(Freshness::Newest, forgotten);
-                if self.asked_stale {
-                    self.not_before = now.after(LAG_PAUSE.mul_f64(random.random_range(0.5..=1.0)));
-                }
+                self.list_anew(now, random);
                 None
             }
             Answer::Throttled => {
@@ -355,6 +381,15 @@
         }
     }
 
+    /// The watch can't go on from where it is.
+    fn list_anew(&mut self, now: Timestamp, random: &mut impl Rng) {
+        let forgotten = self.watched_from();
+        self.phase = Phase::list(Freshness::Newest, forgotten);
+        if self.asked_stale {
+            self.not_before = now.after(LAG_PAUSE.mul_f64(random.random_range(0.5..=1.0)));
+        }
+    }
+
     /// The revision up to which the follower has read.
     const fn watched_from(&self) -> Revision {
         match &self.phase {
@@ -377,6 +412,12 @@
         if let Some(pause_ends) = pause_ends.filter(|pause_ends| now < *pause_ends) {
             return Next::WaitUntil(pause_ends);
         }
+        if from.era() < self.era {
+            return Next::Call(Read::List {
+                after: None,
+                freshness: Freshness::Newest,
+            });
+        }
         Next::Call(Read::Watch {
             from,
             wait,
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -16,6 +16,7 @@
 //! * one version: [`route`], [`instance`] and the immutable [`table`] that traffic threads read;
 //! * the process: [`directory`] and [`replica`] (what the node knows),
 //!   [`zones`] (drained ones), [`delta`] (what changed), [`freshness`] (how old it is), [`follower`] (reading the store),
+//!   [`era`] (whether the store was restored),
 //!   [`exchange`] (peers), [`capacity`] (what a machine can bear), [`coordinator`] (these together), [`stall`] and [`readiness`].
 
 pub mod admission;
@@ -26,6 +27,7 @@
 pub mod delta;
 pub mod directory;
 pub mod ends;
+pub mod era;
 pub mod exchange;
 pub mod flows;
 pub mod follower;
--- a/crates/bellyoke-core/src/cookie/readiness.rs
+++ b/crates/bellyoke-core/src/cookie/readiness.rs
@@ -62,7 +62,7 @@
         if self.is_leaving() {
             return Err(Unready::Leaving);
         }
-        if known.configuration == Revision::default() {
+        if known.configuration == 0 {
             return Err(Unready::NoConfiguration);
         }
         if known.directory_changed_at == Revision::default() {
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -80,8 +80,9 @@
 /// What nodes tell each other of their knowledge, to find out who knows more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Versions {
-    /// Revision of the configuration; zero if there is none.
-    pub configuration: Revision,
+    /// The operators' number for the configuration; zero if there is none. It rises with each configuration, also across
+    /// restorations of the store.
+    pub configuration: u64,
     /// Revision up to which there is no newer configuration.
     pub configuration_as_of: Revision,
     /// Revision of the last change of the instances; zero if they are not known.
@@ -98,11 +99,19 @@
     /// Whether the configuration, the instances or the drained zones are not known at all.
     #[must_use]
     pub fn is_empty(self) -> bool {
-        self.configuration == Revision::default()
+        self.configuration == 0
             || self.directory_changed_at == Revision::default()
             || self.zones_changed_at == Revision::default()
     }
 
+    /// The latest revision of the store that they tell of.
+    #[must_use]
+    pub fn latest(self) -> Revision {
+        let instances = self.directory_as_of.max(self.directory_changed_at);
+        let zones = self.zones_as_of.max(self.zones_changed_at);
+        self.configuration_as_of.max(instances).max(zones)
+    }
+
     /// Whether whoever has told these versions lacks something that another one with `others` knows.
     #[must_use]
     pub fn lacks(self, others: Self) -> bool {
@@ -188,7 +197,7 @@
     #[must_use]
     pub fn versions(&self) -> Versions {
         Versions {
-            configuration: self.configuration_revision(),
+            configuration: self.configuration_version(),
             configuration_as_of: self.configuration_as_of,
             directory_changed_at: self.directory.changed_at(),
             directory_as_of: self.directory.as_of().unwrap_or_default(),
@@ -203,15 +212,16 @@
     #[must_use]
     pub fn is_behind(&self, versions: Versions) -> bool {
         let heard = self.directory.as_of().unwrap_or_default();
-        versions.configuration > self.configuration_revision()
+        versions.configuration > self.configuration_version()
             || versions.directory_changed_at > heard
             || versions.zones_changed_at > self.zones.as_of().unwrap_or_default()
     }
 
-    /// Takes over a configuration if it is newer. Returns whether it was.
+    /// Takes over a configuration if it is newer. Returns whether it was. The operators' number tells, since a restored store
+    /// may give a later revision to an earlier configuration.
     pub fn adopt_configuration(&mut self, configuration: Configuration) -> bool {
         let held = self.configuration.as_ref();
-        if held.is_some_and(|held| configuration.revision <= held.revision) {
+        if held.is_some_and(|held| configuration.version <= held.version) {
             return false;
         }
         let delta = held.and_then(|held| ConfigurationDelta::between(held, &configuration));
@@ -228,7 +238,7 @@
 
     /// A peer's word on how new its state is. A node that isn't behind it knows as much.
     pub fn confirm(&mut self, versions: Versions) {
-        if versions.configuration <= self.configuration_revision() {
+        if versions.configuration <= self.configuration_version() {
             self.confirm_configuration(versions.configuration_as_of);
         }
         self.directory
@@ -331,10 +341,13 @@
         self.directory.take_restarted()
     }
 
-    /// Forgets what is too old to matter. Returns whether anything was.
-    pub fn expire(&mut self, now: Timestamp) -> bool {
-        self.zones.expire(now);
-        self.directory.expire(now)
+    /// Forgets what is too old to matter, and ends what was held only for a while.
+    pub fn expire(&mut self, now: Timestamp) -> StateChange {
+        StateChange {
+            directory: self.directory.expire(now),
+            zones: self.zones.expire(now),
+            ..StateChange::default()
+        }
     }
 
     /// All that this node knows.
@@ -355,7 +368,7 @@
         Snapshot {
             versions: self.versions(),
             configuration: held
-                .filter(|held| held.revision > versions.configuration)
+                .filter(|held| held.version > versions.configuration)
                 .cloned(),
             directory: self.directory_part(now, versions.directory_as_of),
             tombstones: self.directory.tombstones_since(now, gone_since),
@@ -370,10 +383,8 @@
         ForwardingTable::new(self.configuration(), &self.directory, &self.zones)
     }
 
-    fn configuration_revision(&self) -> Revision {
-        self.configuration
-            .as_ref()
-            .map_or_else(Revision::default, |held| held.revision)
+    fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |held| held.version)
     }
 
     fn directory_part(&self, now: Timestamp, since: Revision) -> Option<DirectoryPart> {
@@ -396,9 +407,9 @@
         lacks.then(|| self.zones.snapshot(now)).flatten()
     }
 
-    /// The changes that lead from the configuration of a revision to the one in force; none if
+    /// The changes that lead from the configuration of a version to the one in force; none if
     /// one of them is not known any more.
-    fn configuration_deltas_since(&self, since: Revision) -> Vec<ConfigurationDelta> {
+    fn configuration_deltas_since(&self, since: u64) -> Vec<ConfigurationDelta> {
         let recent = self.recent_configurations.iter();
         let steps = recent.skip_while(|delta| delta.since != since);
         steps.cloned().collect()
--- a/crates/bellyoke-core/src/cookie/table.rs
+++ b/crates/bellyoke-core/src/cookie/table.rs
@@ -385,7 +385,7 @@
             };
             let is_drained = record.state != InstanceState::Ready || zones.is_drained(&record.zone);
             let takes_flows = holds_cookie(record.id) && !succeeded.contains(&record.id);
-            if is_drained || !takes_flows {
+            if is_drained || !takes_flows || known.doubted_until.is_some() {
                 continue;
             }
             let limits = self.limits.get(&record.service[..]).copied();
--- a/crates/bellyoke-core/src/cookie/zones.rs
+++ b/crates/bellyoke-core/src/cookie/zones.rs
@@ -14,6 +14,10 @@
 /// that its next heartbeat takes.
 pub const RESTORATION_LIFETIME: Duration = Duration::from_secs(60);
 
+/// How long a zone stays drained after a restoration of the store that has lost the drain: time for the operators to write
+/// it again.
+pub const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Most zones that are told to a peer; a set fits one datagram with room to spare.
 pub const MAXIMUM_ZONES: usize = 32;
 
@@ -90,6 +94,8 @@
     changed_at: Revision,
     drained: BTreeMap<String, Revision>,
     restored: BTreeMap<String, Restoration>,
+    /// Until when zones stay drained whose drain is known from before a restoration of the store.
+    kept_until: BTreeMap<String, Timestamp>,
 }
 
 impl ZoneDrains {
@@ -101,6 +107,7 @@
             changed_at: Revision::new(0),
             drained: BTreeMap::new(),
             restored: BTreeMap::new(),
+            kept_until: BTreeMap::new(),
         }
     }
 
@@ -113,6 +120,7 @@
             changed_at: Revision::new(1),
             drained: BTreeMap::new(),
             restored: BTreeMap::new(),
+            kept_until: BTreeMap::new(),
         }
     }
 
@@ -153,14 +161,20 @@
             return false;
         }
         let listed = listed.into_iter();
-        let listed: BTreeMap<_, _> = listed.map(|drain| (drain.zone, drain.revision)).collect();
+        let mut listed: BTreeMap<_, _> = listed.map(|drain| (drain.zone, drain.revision)).collect();
         let before = std::mem::take(&mut self.drained);
         for (zone, drained_at) in before {
-            if !listed.contains_key(&zone) && !self.was_restored_after(&zone, drained_at) {
+            if listed.contains_key(&zone) {
+                continue;
+            }
+            if drained_at.era() < at.era() && self.is_kept(now, &zone) {
+                listed.insert(zone, drained_at);
+            } else if !self.was_restored_after(&zone, drained_at) {
                 self.restore(now, at, zone);
             }
         }
         self.drained = listed;
+        self.keep_earlier(now, at);
         // What came and went before is in no list, so that a peer that knows a revision in
         // between may hold another set.
         self.advance(at, true);
@@ -213,10 +227,26 @@
         }
     }
 
-    /// Forgets zones that were restored long ago.
-    pub fn expire(&mut self, now: Timestamp) {
+    /// Forgets zones that were restored long ago, and takes zones for restored whose drains a restored store has lost and
+    /// nobody has written again. Returns whether there was such a zone.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
         let recent = |restoration: &Restoration| now.since(restoration.at) < RESTORATION_LIFETIME;
         self.restored.retain(|_, restoration| recent(restoration));
+        let Some(as_of) = self.as_of.filter(|_| !self.kept_until.is_empty()) else {
+            return false;
+        };
+        let over = self.kept_until.extract_if(.., |_, until| now >= *until);
+        let over: Vec<String> = over.map(|(zone, _)| zone).collect();
+        let mut changed = false;
+        for zone in over {
+            let drained_at = self.drained.get(&zone);
+            if drained_at.is_some_and(|drained_at| drained_at.era() < as_of.era()) {
+                self.drained.remove(&zone);
+                self.restore(now, as_of, zone);
+                changed = true;
+            }
+        }
+        changed
     }
 
     /// The set for a peer; none if nothing is known.
@@ -242,6 +272,21 @@
         })
     }
 
+    /// Whether a zone that a restored store tells nothing of still counts as drained.
+    fn is_kept(&self, now: Timestamp, zone: &str) -> bool {
+        self.kept_until.get(zone).is_none_or(|until| now < *until)
+    }
+
+    /// Notes until when drains from before the era of a revision count.
+    fn keep_earlier(&mut self, now: Timestamp, at: Revision) {
+        let earlier = self.drained.iter();
+        let earlier = earlier.filter(|(_, drained_at)| drained_at.era() < at.era());
+        for (zone, _) in earlier {
+            let until = now.after(REWRITE_TIME);
+            self.kept_until.entry(zone.clone()).or_insert(until);
+        }
+    }
+
     fn was_restored_after(&self, zone: &str, drained_at: Revision) -> bool {
         let restoration = self.restored.get(zone);
         restoration.is_some_and(|restoration| restoration.revision > drained_at)
--- a/crates/bellyoke-core/tests/cookie/cluster.rs
+++ b/crates/bellyoke-core/tests/cookie/cluster.rs
@@ -297,9 +297,7 @@
     }
 
     pub fn knowing(&self, revision: u64) -> usize {
-        let knows = |node: &&Node| {
-            node.alive && self.versions(node).configuration >= Revision::new(revision)
-        };
+        let knows = |node: &&Node| node.alive && self.versions(node).configuration >= revision;
         self.nodes.values().filter(knows).count()
     }
 
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -343,7 +343,7 @@
     }
     let heartbeat = |number: u8| Heartbeat {
         versions: Versions {
-            configuration: Revision::new(20),
+            configuration: 20,
             configuration_as_of: Revision::new(20),
             ..node.replica().versions()
         },
@@ -402,7 +402,7 @@
 fn fetches_on_hearing(node: &mut Coordinator, now: u64, from: usize) -> Vec<SocketAddrV4> {
     let heartbeat = Heartbeat {
         versions: Versions {
-            configuration: Revision::new(9),
+            configuration: 9,
             configuration_as_of: Revision::new(9),
             directory_changed_at: Revision::new(9),
             directory_as_of: Revision::new(9),
@@ -608,7 +608,7 @@
     let mut exchange = Exchange::new(settings, address(0), Vec::new(), 1);
     let heartbeat = |directory: u64| Heartbeat {
         versions: Versions {
-            configuration: Revision::new(9),
+            configuration: 9,
             configuration_as_of: Revision::new(9),
             directory_changed_at: Revision::new(directory),
             directory_as_of: Revision::new(directory),
@@ -626,8 +626,7 @@
     };
     let mut hear = |now, from, directory| {
         let own = Versions::default();
-        let behind =
-            |versions: Versions| !versions.is_empty() || versions.configuration > Revision::new(0);
+        let behind = |versions: Versions| !versions.is_empty() || versions.configuration > 0;
         let message = heartbeat(directory);
         let effects = exchange.heartbeat(at(now), address(from), &message, own, behind);
         let fetches = effects.into_iter().filter_map(|effect| match effect {
--- a/crates/bellyoke-core/tests/cookie/exchange_zones.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -273,7 +273,7 @@
     let known = Revision::new(revision);
     Heartbeat {
         versions: Versions {
-            configuration: known,
+            configuration: known.number(),
             configuration_as_of: known,
             directory_changed_at: known,
             directory_as_of: known,
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -23,7 +23,7 @@
     };
     Heartbeat {
         versions: Versions {
-            configuration: Revision::new(u64::MAX),
+            configuration: u64::MAX,
             configuration_as_of: Revision::new(u64::MAX),
             directory_changed_at: Revision::new(7),
             directory_as_of: Revision::new(9),
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -5,11 +5,12 @@
 use super::store::StoreAnswer;
 use bellyoke_core::cookie::capacity::NodePlace;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
+use bellyoke_core::cookie::era::{CallContext, Standing};
 use bellyoke_core::cookie::exchange::{
     DeltaMessage, Exchange, ExchangeEffect, ExchangeSettings, FetchRequest, PeerDatagram, StoreDuty,
 };
 use bellyoke_core::cookie::follower::{
-    Answer, Follower, FollowerSettings, Freshness, Next, Read, Update, WatchPlan,
+    Answer, Follower, FollowerSettings, Freshness, Next, Read, Reply, Update, WatchPlan,
 };
 use bellyoke_core::cookie::forwarder::{Decision, DropReason, Forwarder};
 use bellyoke_core::cookie::freshness::ObjectKind;
@@ -19,7 +20,7 @@
 use bellyoke_core::cookie::reachability::{ProbeBatch, ProbeOutcome};
 use bellyoke_core::cookie::readiness::Lifecycle;
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Versions};
-use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::revision::{Revision, StoreEra};
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::cookie::stall::{BacklogGuard, TickReport};
 use bellyoke_core::cookie::table::ForwardingTable;
@@ -69,6 +70,14 @@
     pub patience: Duration,
 }
 
+/// A call that is not answered yet.
+#[derive(Debug)]
+struct PendingCall {
+    number: u64,
+    read: Read,
+    context: CallContext,
+}
+
 /// A node that knows nothing yet.
 fn replica(exchange: &ExchangeSettings, tombstone_lifetime: Duration) -> Replica {
     if exchange.reads_zones {
@@ -99,7 +108,7 @@
     instances: Follower<InstanceRecord>,
     configurations: Follower<Configuration>,
     zones: Follower<DrainedZone>,
-    calls: [Option<u64>; ObjectKind::COUNT],
+    calls: [Option<PendingCall>; ObjectKind::COUNT],
     next_call: u64,
     random: ChaCha8Rng,
     told_failing: Vec<Cookie>,
@@ -156,7 +165,7 @@
             instances: Follower::new(follower),
             configurations: Follower::new(follower),
             zones: Follower::new(follower),
-            calls: [None; ObjectKind::COUNT],
+            calls: [const { None }; ObjectKind::COUNT],
             next_call: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             told_failing: Vec::new(),
@@ -346,16 +355,20 @@
         }
         let plan = self.watch_plan(now, kind);
         let known_up_to = self.coordinator.known_up_to(kind);
+        let era = self.coordinator.era();
         let next = match kind {
             ObjectKind::Instances => {
+                self.instances.enter_era(era);
                 self.instances.skip_to(known_up_to);
                 self.instances.next(now, plan)
             }
             ObjectKind::Configuration => {
+                self.configurations.enter_era(era);
                 self.configurations.skip_to(known_up_to);
                 self.configurations.next(now, plan)
             }
             ObjectKind::Zones => {
+                self.zones.enter_era(era);
                 self.zones.skip_to(known_up_to);
                 self.zones.next(now, plan)
             }
@@ -375,7 +388,11 @@
             ObjectKind::Zones => self.zones.asked(now, &read),
         }
         self.next_call += 1;
-        self.calls[kind as usize] = Some(self.next_call);
+        self.calls[kind as usize] = Some(PendingCall {
+            number: self.next_call,
+            read: read.clone(),
+            context: self.coordinator.call_context(),
+        });
         let wait = match &read {
             Read::Watch { wait, .. } => *wait,
             Read::List { .. } => Duration::ZERO,
@@ -398,21 +415,55 @@
         &mut self,
         now: Timestamp,
         number: u64,
+        era: Option<StoreEra>,
         answer: StoreAnswer,
     ) -> Vec<ExchangeEffect> {
-        let kind = answer.kind();
-        if self.calls[kind as usize] != Some(number) {
+        let pending = &mut self.calls[answer.kind() as usize];
+        let Some(call) = pending.take_if(|call| call.number == number) else {
             return Vec::new();
-        }
-        self.calls[kind as usize] = None;
+        };
+        let (era, answer) = if self.lacks(Ablation::IgnoreEras) {
+            (None, answer.in_era(StoreEra(0)))
+        } else {
+            (era, answer.in_era(era.unwrap_or(call.context.era)))
+        };
         let outcome = match answer {
-            StoreAnswer::Instances(answer) => self.take_instances(now, answer),
-            StoreAnswer::Configurations(answer) => self.take_configurations(now, answer),
-            StoreAnswer::Zones(answer) => self.take_zones(now, answer),
+            StoreAnswer::Instances(answer) => {
+                let answer = self.counting_answer(now, &call, Reply { era, answer });
+                self.take_instances(now, answer)
+            }
+            StoreAnswer::Configurations(answer) => {
+                let answer = self.counting_answer(now, &call, Reply { era, answer });
+                self.take_configurations(now, answer)
+            }
+            StoreAnswer::Zones(answer) => {
+                let answer = self.counting_answer(now, &call, Reply { era, answer });
+                self.take_zones(now, answer)
+            }
         };
         self.publish(outcome)
     }
 
+    /// The answer of a reply, as far as it counts.
+    fn counting_answer<Item, Event>(
+        &mut self,
+        now: Timestamp,
+        call: &PendingCall,
+        reply: Reply<Item, Event>,
+    ) -> Answer<Item, Event> {
+        if self.lacks(Ablation::IgnoreEras) {
+            return reply.answer;
+        }
+        let standing = self
+            .coordinator
+            .judge_reply(now, call.context, &call.read, &reply);
+        match standing {
+            Standing::Current => reply.answer,
+            Standing::Outdated => Answer::Failed,
+            Standing::Restored => Answer::HistoryGone,
+        }
+    }
+
     fn take_instances(
         &mut self,
         now: Timestamp,
--- a/crates/bellyoke-lab/src/cookie/scenario.rs
+++ b/crates/bellyoke-lab/src/cookie/scenario.rs
@@ -36,6 +36,8 @@
     NoLoad,
     /// Suspicions of peers count for nothing.
     NoPeerSuspicions,
+    /// Revisions are compared by their numbers alone, whether or not the store was restored.
+    IgnoreEras,
     /// All nodes watch by stale reads.
     NoReader,
     /// Lists are read as the newest state.
@@ -182,6 +184,8 @@
     pub loss: f64,
     /// The links of the nodes' machines; none are wide enough for all.
     pub node_links: Option<LinkSettings>,
+    /// Whether the store tells its era.
+    pub store_tells_era: bool,
     /// How nodes pace what they tell each other.
     pub exchange: ExchangeSettings,
     /// How long it lasts.
@@ -211,6 +215,7 @@
             probes: 4,
             loss: 0.0,
             node_links: None,
+            store_tells_era: true,
             length: Duration::from_secs(20),
             actions: Vec::new(),
             ablations: Vec::new(),
--- a/crates/bellyoke-lab/src/cookie/store.rs
+++ b/crates/bellyoke-lab/src/cookie/store.rs
@@ -3,7 +3,7 @@
 use bellyoke_core::cookie::follower::{Answer, Freshness, Read};
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
-use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::revision::{Revision, StoreEra};
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use bellyoke_core::time::Timestamp;
@@ -45,6 +45,42 @@
         }
     }
 
+    /// The answer with its revisions in an era, as whoever is not told the store's takes them.
+    #[must_use]
+    pub fn in_era(self, era: StoreEra) -> Self {
+        let put = |revision: &mut Revision| *revision = in_era(era, *revision);
+        let put_record = |record: &mut InstanceRecord| {
+            put(&mut record.revision);
+            record.created.as_mut().map(put);
+        };
+        match self {
+            Self::Instances(answer) => {
+                Self::Instances(with_revisions(answer, put, put_record, |event| {
+                    if let InstanceEvent::Put(record) = event {
+                        put_record(record);
+                    }
+                }))
+            }
+            Self::Configurations(answer) => {
+                let put_configuration = |held: &mut Configuration| put(&mut held.revision);
+                Self::Configurations(with_revisions(
+                    answer,
+                    put,
+                    put_configuration,
+                    put_configuration,
+                ))
+            }
+            Self::Zones(answer) => {
+                let put_zone = |zone: &mut DrainedZone| put(&mut zone.revision);
+                Self::Zones(with_revisions(answer, put, put_zone, |event| {
+                    if let ZoneEvent::Drained(zone) = event {
+                        put_zone(zone);
+                    }
+                }))
+            }
+        }
+    }
+
     /// The answer that is none.
     #[must_use]
     pub const fn failed(kind: ObjectKind) -> Self {
@@ -81,6 +117,9 @@
     pub page: usize,
     /// How much older than the newest state a stale read is.
     pub staleness: Duration,
+    /// Whether answers tell the era.
+    pub tells_era: bool,
+    era: StoreEra,
     revision: Revision,
     instances: BTreeMap<InstanceId, InstanceRecord>,
     configuration: Option<Configuration>,
@@ -96,6 +135,8 @@
             mode: StoreMode::Up,
             page: 50,
             staleness: Duration::ZERO,
+            tells_era: true,
+            era: StoreEra(0),
             revision: Revision::new(1),
             instances: BTreeMap::new(),
             configuration: None,
@@ -180,13 +221,32 @@
         let Some(copy) = self.copy.clone() else {
             return;
         };
-        self.revision = copy.revision;
+        let era = self.era.next();
+        let restored = |revision: Revision| in_era(era, revision);
+        self.era = era;
+        self.revision = restored(copy.revision);
         self.instances = copy.instances;
+        for record in self.instances.values_mut() {
+            record.revision = restored(record.revision);
+            record.created = record.created.map(restored);
+        }
         self.configuration = copy.configuration;
+        if let Some(configuration) = &mut self.configuration {
+            configuration.revision = restored(configuration.revision);
+        }
         self.drained_zones = copy.drained_zones;
+        for revision in self.drained_zones.values_mut() {
+            *revision = restored(*revision);
+        }
         self.compact();
     }
 
+    /// The era that answers tell, if they do.
+    #[must_use]
+    pub fn told_era(&self) -> Option<StoreEra> {
+        self.tells_era.then_some(self.era)
+    }
+
     /// The configuration.
     #[must_use]
     pub const fn configuration(&self) -> Option<&Configuration> {
@@ -227,7 +287,10 @@
         }
         match read {
             Read::List { after, .. } => Some(self.list(kind, after.as_deref())),
-            Read::Watch { from, .. } if *from < self.forgotten || *from > self.revision => {
+            Read::Watch { from, .. }
+                if from.number() < self.forgotten.number()
+                    || from.number() > self.revision.number() =>
+            {
                 Some(history_gone(kind))
             }
             Read::Watch {
@@ -237,13 +300,16 @@
                     Freshness::Newest => Duration::ZERO,
                     Freshness::MayBeStale => self.staleness,
                 };
-                self.changes(now, kind, *from, staleness, expired)
+                // A call names a number alone.
+                let from = in_era(self.era, *from);
+                self.changes(now, kind, from, staleness, expired)
             }
         }
     }
 
     fn advance(&mut self) -> Revision {
-        self.revision = Revision::new(self.revision.number() + 1);
+        let next = Revision::in_era(self.era, self.revision.number() + 1);
+        self.revision = next.unwrap_or(self.revision);
         self.revision
     }
 
@@ -336,12 +402,38 @@
     }
 }
 
+/// The revision with the same number in an era.
+fn in_era(era: StoreEra, revision: Revision) -> Revision {
+    Revision::in_era(era, revision.number()).unwrap_or(revision)
+}
+
 const fn freshness(read: &Read) -> Freshness {
     match read {
         Read::List { freshness, .. } | Read::Watch { freshness, .. } => *freshness,
     }
 }
 
+/// Changes each revision of an answer.
+fn with_revisions<Item, Event>(
+    mut answer: Answer<Item, Event>,
+    change: impl Fn(&mut Revision),
+    change_item: impl Fn(&mut Item),
+    change_event: impl Fn(&mut Event),
+) -> Answer<Item, Event> {
+    match &mut answer {
+        Answer::Page { items, at, .. } => {
+            change(at);
+            items.iter_mut().for_each(change_item);
+        }
+        Answer::Changes { events, at } => {
+            change(at);
+            events.iter_mut().for_each(change_event);
+        }
+        Answer::HistoryGone | Answer::Throttled | Answer::Failed => {}
+    }
+    answer
+}
+
 const fn throttled(kind: ObjectKind) -> StoreAnswer {
     match kind {
         ObjectKind::Instances => StoreAnswer::Instances(Answer::Throttled),
--- a/crates/bellyoke-lab/src/cookie/world.rs
+++ b/crates/bellyoke-lab/src/cookie/world.rs
@@ -15,6 +15,7 @@
 use bellyoke_core::cookie::instance::InstanceId;
 use bellyoke_core::cookie::reachability::ProbeBatch;
 use bellyoke_core::cookie::replica::Snapshot;
+use bellyoke_core::cookie::revision::StoreEra;
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::time::Timestamp;
 use machines::{Machine, MachineState, RunningTarget};
@@ -82,6 +83,7 @@
         node: usize,
         life: u64,
         number: u64,
+        era: Option<StoreEra>,
         answer: StoreAnswer,
     },
     Datagram {
@@ -197,6 +199,7 @@
             heartbeats: 0,
             scenario,
         };
+        world.store.tells_era = world.scenario.store_tells_era;
         world.build();
         world
     }
@@ -282,8 +285,9 @@
                 node,
                 life,
                 number,
+                era,
                 answer,
-            } => self.store_answer(node, life, number, answer),
+            } => self.store_answer(node, life, number, era, answer),
             Event::Datagram { from, to, datagram } => self.datagram(from, to, datagram),
             Event::Fetched {
                 node,
--- a/crates/bellyoke-lab/src/cookie/world/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/world/machines.rs
@@ -13,6 +13,7 @@
 use bellyoke_core::cookie::instance::{InstanceId, InstanceRecord};
 use bellyoke_core::cookie::reachability::{ATTEMPT_TIMEOUT, ProbeBatch};
 use bellyoke_core::cookie::replica::Snapshot;
+use bellyoke_core::cookie::revision::StoreEra;
 use bellyoke_core::time::Timestamp;
 use rand::RngExt;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -266,6 +267,7 @@
                 node,
                 life,
                 number: call.number,
+                era: None,
                 answer: StoreAnswer::failed(call.kind),
             };
             self.after(call.patience, given_up);
@@ -328,6 +330,7 @@
             node,
             life,
             number: call.number,
+            era: self.store.told_era(),
             answer,
         };
         self.after(super::DELAY, event);
@@ -338,6 +341,7 @@
         node: usize,
         life: u64,
         number: u64,
+        era: Option<StoreEra>,
         answer: StoreAnswer,
     ) {
         let now = self.now;
@@ -346,7 +350,7 @@
             return;
         }
         if let MachineState::Running(process) = &mut machine.state {
-            let effects = process.store_answer(now, number, answer);
+            let effects = process.store_answer(now, number, era, answer);
             self.effects(node, effects);
         }
     }
--- a/crates/bellyoke-lab/tests/cookie_restored_store.rs
+++ b/crates/bellyoke-lab/tests/cookie_restored_store.rs
@@ -8,8 +8,8 @@
 //! Evidence: one revision named a configuration before the restoration and a change of instances after it, and two
 //! acknowledged changes had no revision of their own among those seen.
 
-use bellyoke_lab::cookie::rules::Violation;
-use bellyoke_lab::cookie::scenario::{Action, Scenario};
+use bellyoke_lab::cookie::rules::{Rule, Violation};
+use bellyoke_lab::cookie::scenario::{Ablation, Action, Scenario};
 use bellyoke_lab::cookie::store::StoreMode;
 use bellyoke_lab::cookie::world::play;
 use std::time::Duration;
@@ -76,3 +76,24 @@
     let scenario = restored().at(18_800, Action::Configure { probe: Some(0) });
     assert_eq!(violations(&scenario), []);
 }
+
+/// A store that doesn't tell its era is taken for restored once its newest list is older than what was known.
+#[test]
+fn a_restoration_that_the_store_does_not_tell_of_is_noticed() {
+    let scenario = Scenario {
+        store_tells_era: false,
+        ..restored()
+    };
+    assert_eq!(violations(&changes(scenario)), []);
+}
+
+#[test]
+fn changes_after_a_restoration_need_the_era() {
+    let scenario = changes(restored().without(Ablation::IgnoreEras));
+    let broken: Vec<Rule> = violations(&scenario)
+        .into_iter()
+        .map(|violation| violation.rule)
+        .collect();
+    assert!(broken.contains(&Rule::Drain), "{broken:?}");
+    assert!(broken.contains(&Rule::Configuration), "{broken:?}");
+}
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -4,6 +4,7 @@
 use super::store::StoreReader;
 use crate::process::control::Control;
 use crate::process::metrics::{ControlMetrics, StoreCallLabels};
+use bellyoke_core::cookie::era::Standing;
 use bellyoke_core::cookie::exchange::ExchangeEffect;
 use bellyoke_core::cookie::follower::{
     Answer, Follower, FollowerSettings, Freshness, Next, Read, Reply, Update,
@@ -34,6 +35,7 @@
     loop {
         let (next, may_ask) = {
             let control = link.control.borrow();
+            follower.enter_era(control.era());
             follower.skip_to(control.known_up_to(kind));
             let next = follower.next(clock.now(), control.watch_plan(kind));
             (next, control.may_ask(kind))
@@ -51,24 +53,23 @@
         };
         let asked_at = clock.now();
         link.control.borrow_mut().note_asked(kind);
+        let context = link.control.borrow().call_context();
         follower.asked(asked_at, &read);
         let hedge = || link.control.borrow().asks_for_all();
         let needless = || follower.is_needless(link.control.borrow().known_up_to(kind));
-        let Some(reply) = unless(needless, reader.read(&read, hedge)).await else {
+        let Some(reply) = unless(needless, reader.read(&read, context.era, hedge)).await else {
             continue;
         };
-        let Reply { era, answer } = reply;
         let took = clock.now().since(asked_at);
         let mut control = link.control.borrow_mut();
+        let standing = control.judge_reply(kind, context, &read, &reply);
+        let answer = counting_answer(standing, reply);
         count(control.metrics(), kind, &read, &answer, took);
         let rejected = reader.rejected();
         control
             .metrics()
             .objects_rejected
             .inc_by(rejected - std::mem::replace(&mut counted_rejected, rejected));
-        if let Some(era) = era {
-            control.note_era(kind, era);
-        }
         let update = follower.answer(clock.now(), answer, control.random());
         control.note_answered(kind, follower.is_usable());
         if follower.is_usable() != usable {
@@ -81,6 +82,18 @@
     }
 }
 
+/// The answer of a reply, as far as it counts.
+fn counting_answer<Item, Event>(
+    standing: Standing,
+    reply: Reply<Item, Event>,
+) -> Answer<Item, Event> {
+    match standing {
+        Standing::Current => reply.answer,
+        Standing::Outdated => Answer::Failed,
+        Standing::Restored => Answer::HistoryGone,
+    }
+}
+
 /// The answer to a call; none once `needless` says that it isn't needed any more. The call is then
 /// dropped with its connection, so that a long answer takes no more of a thin link.
 async fn unless<Answer>(
--- a/crates/bellyoke-node/src/connection/store.rs
+++ b/crates/bellyoke-node/src/connection/store.rs
@@ -2,6 +2,7 @@
 
 use bellyoke_core::cookie::follower::{Read, Reply};
 use bellyoke_core::cookie::instance::{InstanceEvent, InstanceRecord};
+use bellyoke_core::cookie::revision::StoreEra;
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use std::net::SocketAddrV4;
@@ -13,12 +14,13 @@
     /// A change of an object.
     type Event: 'static;
 
-    /// Makes a call. A failure closes the connection; the next call opens another. While it is
+    /// Makes a call. Revisions in the answer are of the era that the store tells, or of `era` if it tells none. A failure closes the connection; the next call opens another. While it is
     /// not answered, `hedge` is asked now and then whether to make it again over another
     /// connection; the first answer counts.
     fn read(
         &mut self,
         read: &Read,
+        era: StoreEra,
         hedge: impl FnMut() -> bool,
     ) -> impl Future<Output = Reply<Self::Item, Self::Event>>;
 
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -7,10 +7,11 @@
 use super::shared::Shared;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
+use bellyoke_core::cookie::era::{CallContext, Standing};
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, FetchRequest, PeerDatagram, PeerKey, StoreDuty,
 };
-use bellyoke_core::cookie::follower::{Update, WatchPlan};
+use bellyoke_core::cookie::follower::{Read, Reply, Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::publication::TablePacer;
@@ -85,8 +86,8 @@
     tables: TablePacer,
     /// When the traffic thread may next be told at once which instances can't be reached.
     next_showing: Timestamp,
-    /// The highest era that the store has told.
-    era: StoreEra,
+    /// The store's era as logged last.
+    logged_era: StoreEra,
 }
 
 impl Control {
@@ -125,7 +126,7 @@
             last_delta: None,
             tables: TablePacer::default(),
             next_showing: Timestamp::ZERO,
-            era: StoreEra::default(),
+            logged_era: StoreEra::default(),
             shared,
         }
     }
@@ -275,21 +276,33 @@
             .note_store(self.clock.now(), kind, answered);
     }
 
-    /// The store has told its era with an answer.
-    pub fn note_era(&mut self, kind: ObjectKind, era: StoreEra) {
-        if era <= self.era {
-            return;
+    /// The latest era of the store that is known.
+    #[must_use]
+    pub const fn era(&self) -> StoreEra {
+        self.coordinator.era()
+    }
+
+    /// What to hand in with the reply to a call to the store that begins now.
+    #[must_use]
+    pub fn call_context(&self) -> CallContext {
+        self.coordinator.call_context()
+    }
+
+    /// What a reply of the store counts for.
+    pub fn judge_reply<Item, Event>(
+        &mut self,
+        kind: ObjectKind,
+        context: CallContext,
+        read: &Read,
+        reply: &Reply<Item, Event>,
+    ) -> Standing {
+        let now = self.clock.now();
+        let standing = self.coordinator.judge_reply(now, context, read, reply);
+        self.note_era(Source::Store);
+        if standing == Standing::Outdated {
+            self.log_outdated_reply(kind, context, reply.era);
         }
-        let before = std::mem::replace(&mut self.era, era);
-        self.metrics.store_era.set(i64::from(era.0));
-        let known = self.known_up_to(kind);
-        log_event(
-            EventCode::StoreRestored,
-            format_args!(
-                "kind={} era={era} before={before} known={known}",
-                kind.name()
-            ),
-        );
+        standing
     }
 
     /// The store answers calls for a kind again, or has ceased to.
@@ -440,6 +453,7 @@
 
     /// Publishes and logs what changed, and returns what to do.
     fn take(&mut self, outcome: Outcome, source: Source) -> Vec<ExchangeEffect> {
+        self.note_era(source);
         if outcome.change.configuration {
             self.log_configuration(source);
         }
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -4,13 +4,14 @@
 use super::Control;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::capacity::ZoneKey;
+use bellyoke_core::cookie::era::CallContext;
 use bellyoke_core::cookie::exchange::StoreDuty;
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::outliers::{InstanceTally, OutlierChange};
 use bellyoke_core::cookie::reachability::{ProbeOutcome, ReachabilityChange};
 use bellyoke_core::cookie::replica::Source;
-use bellyoke_core::cookie::revision::Revision;
+use bellyoke_core::cookie::revision::{Revision, StoreEra};
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::time::Timestamp;
 use bellyoke_process::log::log_event;
@@ -121,6 +122,46 @@
         );
     }
 
+    /// The store may have been restored.
+    pub(super) fn note_era(&mut self, source: Source) {
+        let era = self.coordinator.era();
+        if era == self.logged_era {
+            return;
+        }
+        let before = std::mem::replace(&mut self.logged_era, era);
+        self.metrics.store_era.set(i64::from(era.0));
+        let known = self.coordinator.replica().versions();
+        log_event(
+            EventCode::StoreRestored,
+            format_args!(
+                "era={era} before={before} instances_known={} configuration_known={} zones_known={} source={}",
+                known.directory_as_of,
+                known.configuration_as_of,
+                known.zones_as_of,
+                source.name()
+            ),
+        );
+    }
+
+    /// A reply of the store came from an earlier era, or told none.
+    pub(super) fn log_outdated_reply(
+        &mut self,
+        kind: ObjectKind,
+        context: CallContext,
+        told: Option<StoreEra>,
+    ) {
+        let told = told.map_or_else(|| "none".to_owned(), |era| era.to_string());
+        let line = format!(
+            "kind={} told_era={told} asked_in={} era={}",
+            kind.name(),
+            context.era,
+            self.coordinator.era()
+        );
+        self.metrics.old_states.inc();
+        self.limiter
+            .log(EventCode::OldStateIgnored, self.clock.now(), line);
+    }
+
     /// An answer of the store was older than what this node knows.
     pub(super) fn log_old_state(&mut self, kind: ObjectKind, told: Revision, known: Revision) {
         self.metrics.old_states.inc();
