Don't join pages of two eras in one list

A list whose first pages come before a restoration and whose last one after it was taken over without the first: its instances would have counted as gone. Found by the new tests of what a node believes after a restoration, of which a_list_does_not_join_pages_of_two_eras failed. The follower now begins such a list anew. The other tests cover what a copy may not take back: configurations, drains, ends, cold starts, the order of holders of an address, drained zones; what no delta may join; and that 10, 100 and 1,000 nodes learn of a restoration within a second at the same cost each.

--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -344,6 +344,10 @@
                 self.list_anew(now, random);
                 None
             }
+            Answer::Page { at, .. } if self.has_pages_of_another_era(at.era()) => {
+                self.enter_era(at.era());
+                None
+            }
             Answer::Page {
                 items,
                 next_after,
@@ -381,6 +385,11 @@
         }
     }
 
+    /// Whether the list that it reads began in another era.
+    fn has_pages_of_another_era(&self, era: StoreEra) -> bool {
+        matches!(&self.phase, Phase::Listing { oldest_at: Some(at), .. } if at.era() != era)
+    }
+
     /// The watch can't go on from where it is.
     fn list_anew(&mut self, now: Timestamp, random: &mut impl Rng) {
         let forgotten = self.watched_from();
--- a/crates/bellyoke-core/src/cookie/revision.rs
+++ b/crates/bellyoke-core/src/cookie/revision.rs
@@ -40,18 +40,7 @@
 /// assert_eq!(restored.to_string(), "1/24");
 /// ```
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Archive,
-    Serialize,
-    Deserialize,
+    Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize,
 )]
 #[rkyv(derive(Debug, PartialEq, Eq, PartialOrd, Ord, Hash))]
 pub struct Revision(u64);
@@ -92,6 +81,12 @@
     }
 }
 
+impl fmt::Debug for Revision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Revision({self})")
+    }
+}
+
 impl fmt::Display for Revision {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.era() == StoreEra::default() {
--- a/crates/bellyoke-core/tests/cookie/main.rs
+++ b/crates/bellyoke-core/tests/cookie/main.rs
@@ -24,6 +24,7 @@
 mod reachability;
 mod replica;
 mod restarts;
+mod restoration;
 mod spread;
 mod stall;
 mod support;
--- /dev/null
+++ b/crates/bellyoke-core/tests/cookie/restoration.rs
@@ -0,0 +1,431 @@
+//! What a node believes after the store has come back from an older copy, which its operators and instances then write
+//! up to date.
+
+use crate::cluster::{Cluster, address, in_five_zones};
+use crate::support::{TOMBSTONE_LIFETIME, at, configuration, draining, node, record};
+use bellyoke_core::cookie::directory::Directory;
+use bellyoke_core::cookie::era::{EraTracker, Standing};
+use bellyoke_core::cookie::exchange::StoreDuty;
+use bellyoke_core::cookie::follower::{
+    Answer, Follower, FollowerSettings, Freshness, Next, Read, Reply, Update, WatchPlan,
+};
+use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord, InstanceState};
+use bellyoke_core::cookie::replica::Replica;
+use bellyoke_core::cookie::revision::{Revision, StoreEra};
+use bellyoke_core::cookie::zones::{DrainedZone, REWRITE_TIME, ZoneDrains, ZoneEvent};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+const fn before(number: u64) -> Revision {
+    Revision::new(number)
+}
+
+fn after(number: u64) -> Revision {
+    Revision::in_era(StoreEra(1), number).unwrap()
+}
+
+/// A record as the restored store tells it.
+fn restored(record: InstanceRecord) -> InstanceRecord {
+    InstanceRecord {
+        revision: after(record.revision.number()),
+        created: record.created.map(|created| after(created.number())),
+        ..record
+    }
+}
+
+fn state(directory: &Directory, id: u64) -> Option<InstanceState> {
+    let mut known = directory.instances();
+    let known = known.find(|known| known.record.id == InstanceId(id))?;
+    known.gone_at.is_none().then_some(known.record.state)
+}
+
+/// Instances that take new flows.
+fn candidates(replica: &Replica) -> Vec<u64> {
+    let table = replica.table();
+    let candidates = table.candidates_by_service().flatten();
+    candidates.map(|candidate| candidate.id.0).collect()
+}
+
+#[test]
+fn a_configuration_does_not_come_back_older() {
+    let mut replica = Replica::new(TOMBSTONE_LIFETIME);
+    let written = |version, revision| {
+        let mut configuration = configuration(version, &[("till", 1)]);
+        configuration.revision = revision;
+        configuration
+    };
+    assert!(replica.adopt_configuration(written(21, before(26))));
+    assert!(!replica.adopt_configuration(written(15, after(22))));
+    assert!(!replica.adopt_configuration(written(21, after(24))));
+    assert!(replica.adopt_configuration(written(25, after(25))));
+}
+
+#[test]
+fn news_with_a_number_that_was_given_out_before_counts() {
+    let mut replica = node(vec![record(1, 4), record(2, 5)]);
+    let copy = vec![restored(record(1, 4)), restored(record(2, 5))];
+    replica.replace_instances(at(1_000), after(7), copy);
+    let drains = vec![InstanceEvent::Put(restored(draining(1, 8)))];
+    replica.apply_instances(at(2_000), after(8), drains);
+    assert_eq!(candidates(&replica), [2]);
+}
+
+#[test]
+fn a_copy_does_not_take_back_that_an_instance_leaves() {
+    let mut directory = Directory::new(TOMBSTONE_LIFETIME);
+    directory.replace(at(0), before(5), vec![record(1, 4), record(2, 5)]);
+    let drains = vec![InstanceEvent::Put(draining(1, 6))];
+    directory.apply(at(100), before(6), drains);
+    let copy = vec![restored(record(1, 4)), restored(record(2, 5))];
+    directory.replace(at(1_000), after(5), copy);
+    assert_eq!(state(&directory, 1), Some(InstanceState::Draining));
+    assert_eq!(state(&directory, 2), Some(InstanceState::Ready));
+    // Nor does what it writes before it has heard of the loss.
+    let writes = vec![InstanceEvent::Put(restored(record(1, 6)))];
+    directory.apply(at(1_100), after(6), writes);
+    assert_eq!(state(&directory, 1), Some(InstanceState::Draining));
+}
+
+#[test]
+fn an_instance_that_left_is_known_to_leave_also_where_the_copy_was_read_first() {
+    let mut directory = Directory::new(TOMBSTONE_LIFETIME);
+    directory.replace(at(0), after(5), vec![restored(record(1, 4))]);
+    let mut peer = Directory::new(TOMBSTONE_LIFETIME);
+    peer.replace(at(0), before(5), vec![record(1, 4)]);
+    peer.apply(at(0), before(6), vec![InstanceEvent::Put(draining(1, 6))]);
+    peer.replace(at(0), after(6), vec![restored(record(1, 4))]);
+    directory.replace(at(100), after(6), peer.records(at(100)));
+    assert_eq!(state(&directory, 1), Some(InstanceState::Draining));
+}
+
+#[test]
+fn an_instance_that_went_takes_no_new_flow_on_the_word_of_a_copy() {
+    let mut replica = node(vec![record(1, 4), record(2, 5)]);
+    let gone = vec![InstanceEvent::Gone(InstanceId(1))];
+    replica.apply_instances(at(1_000), before(11), gone);
+    let copy = vec![restored(record(1, 4)), restored(record(2, 5))];
+    replica.replace_instances(at(10_000), after(10), copy);
+    assert_eq!(candidates(&replica), [2]);
+    // A record that the store still has after some missed heartbeats is that of an instance that lives.
+    assert!(!replica.expire(at(14_900)).directory);
+    assert!(replica.expire(at(15_000)).directory);
+    assert_eq!(candidates(&replica), [1, 2]);
+}
+
+#[test]
+fn an_instance_that_a_copy_lacks_is_back_once_it_writes_again() {
+    let mut replica = node(vec![record(1, 4), record(2, 9)]);
+    replica.replace_instances(at(1_000), after(8), vec![restored(record(1, 4))]);
+    assert_eq!(state(replica.directory(), 2), None);
+    let writes = vec![InstanceEvent::Put(restored(record(2, 9)))];
+    replica.apply_instances(at(1_500), after(9), writes);
+    assert_eq!(candidates(&replica), [1, 2]);
+}
+
+#[test]
+fn an_instance_does_not_become_cold_again_by_a_copy() {
+    let cold = |revision| InstanceRecord {
+        cold_remaining_milliseconds: 3_000,
+        ..record(1, revision)
+    };
+    let mut directory = Directory::new(TOMBSTONE_LIFETIME);
+    directory.replace(at(0), before(5), vec![cold(4)]);
+    directory.replace(at(9_000), after(5), vec![restored(cold(4))]);
+    let known = directory.instances().next().unwrap();
+    assert_eq!(known.warm_at, at(3_000));
+}
+
+#[test]
+fn the_later_instance_at_an_address_stays_the_later_one() {
+    let earlier = record(1, 4);
+    let later = InstanceRecord {
+        address: earlier.address,
+        ..record(2, 9)
+    };
+    let mut directory = Directory::new(TOMBSTONE_LIFETIME);
+    directory.replace(at(0), before(5), vec![earlier.clone()]);
+    let reused = vec![
+        InstanceEvent::Gone(InstanceId(1)),
+        InstanceEvent::Put(later.clone()),
+    ];
+    directory.apply(at(100), before(9), reused);
+    // The copy has the former holder of the address alone, whose place the other one takes again.
+    directory.replace(at(1_000), after(5), vec![restored(earlier)]);
+    let writes = InstanceEvent::Put(InstanceRecord {
+        revision: after(6),
+        created: Some(after(6)),
+        ..later
+    });
+    directory.apply(at(1_200), after(6), vec![writes]);
+    let succeeded: Vec<u64> = directory.succeeded().iter().map(|id| id.0).collect();
+    assert_eq!(succeeded, [1]);
+}
+
+#[test]
+fn no_delta_joins_two_eras() {
+    let mut teller = Directory::new(TOMBSTONE_LIFETIME);
+    teller.replace(at(0), before(5), vec![record(1, 4)]);
+    let copy = vec![restored(record(1, 4)), restored(record(2, 5))];
+    teller.replace(at(1_000), after(5), copy);
+    let delta = teller.delta_since(at(1_000), before(5)).unwrap();
+    let told: Vec<u64> = delta.records.iter().map(|record| record.id.0).collect();
+    assert_eq!(told, [2], "what tells the same is not told again");
+    let receiver = |known| {
+        let mut receiver = Directory::new(TOMBSTONE_LIFETIME);
+        receiver.replace(at(0), before(5), vec![record(1, 4)]);
+        if known > 5 {
+            let news = vec![InstanceEvent::Put(record(3, known))];
+            receiver.apply(at(0), before(known), news);
+        }
+        receiver
+    };
+    let mut as_new = receiver(5);
+    assert!(as_new.apply_delta(at(1_000), delta.clone()));
+    assert_eq!(as_new.as_of(), Some(after(5)));
+    // What it knows beyond the teller's last number may be lost, which only a list tells.
+    let mut newer = receiver(6);
+    assert!(!newer.apply_delta(at(1_000), delta));
+    assert_eq!(teller.delta_since(at(1_000), before(6)), None);
+}
+
+fn drained_zone(zone: &str, revision: Revision) -> DrainedZone {
+    DrainedZone {
+        zone: zone.to_owned(),
+        revision,
+    }
+}
+
+/// Zones of which Cork was drained, as known when the store was restored from a copy that lacks it.
+fn drain_lost() -> ZoneDrains {
+    let mut zones = ZoneDrains::unknown();
+    zones.replace(at(0), before(7), vec![drained_zone("cork", before(7))]);
+    zones.replace(at(10_000), after(6), Vec::new());
+    zones
+}
+
+#[test]
+fn a_zone_stays_drained_until_its_drain_could_be_written_again() {
+    let mut zones = drain_lost();
+    assert!(zones.is_drained("cork"));
+    let over = at(10_000).after(REWRITE_TIME);
+    // Another list of the same store changes nothing of that.
+    zones.replace(at(11_000), after(8), Vec::new());
+    assert!(!zones.expire(at(14_900)));
+    assert!(zones.is_drained("cork"));
+    assert!(zones.expire(over));
+    assert!(!zones.is_drained("cork"));
+}
+
+#[test]
+fn a_drain_that_is_written_again_holds() {
+    let mut zones = drain_lost();
+    let again = ZoneEvent::Drained(drained_zone("cork", after(9)));
+    zones.apply(at(12_000), after(9), vec![again]);
+    assert!(!zones.expire(at(60_000)));
+    assert!(zones.is_drained("cork"));
+}
+
+#[test]
+fn a_newcomer_that_hears_of_a_lost_drain_drops_it_like_others() {
+    let told = drain_lost().snapshot(at(10_100)).unwrap();
+    let mut newcomer = ZoneDrains::unknown();
+    newcomer.adopt(at(10_100), told);
+    assert!(newcomer.is_drained("cork"));
+    assert!(newcomer.expire(at(10_100).after(REWRITE_TIME)));
+    assert!(!newcomer.is_drained("cork"));
+}
+
+type TestFollower = Follower<u32>;
+
+fn random() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(1)
+}
+
+fn page(at: Revision) -> Answer<u32, u32> {
+    Answer::Page {
+        items: vec![1],
+        next_after: None,
+        at,
+    }
+}
+
+fn changes(at: Revision) -> Answer<u32, u32> {
+    Answer::Changes {
+        events: vec![2],
+        at,
+    }
+}
+
+const WATCHES: WatchPlan = WatchPlan::Watch(Freshness::Newest);
+
+fn lists(follower: &TestFollower) -> bool {
+    let next = follower.next(at(5_000), WATCHES);
+    matches!(next, Next::Call(Read::List { freshness, .. }) if freshness == Freshness::Newest)
+}
+
+#[test]
+fn a_follower_lists_anew_in_a_new_era() {
+    let mut follower = TestFollower::new(FollowerSettings::default());
+    follower.answer(at(0), page(before(26)), &mut random());
+    assert!(!lists(&follower));
+    follower.enter_era(StoreEra(1));
+    assert!(lists(&follower));
+    // One that rests while others tell it enough doesn't.
+    let rests = WatchPlan::RestUntil(at(6_000));
+    assert_eq!(follower.next(at(5_000), rests), Next::WaitUntil(at(6_000)));
+    follower.skip_to(after(24));
+    assert!(!lists(&follower));
+}
+
+#[test]
+fn changes_of_another_era_are_no_answer_to_a_watch() {
+    let mut follower = TestFollower::new(FollowerSettings::default());
+    follower.answer(at(0), page(before(26)), &mut random());
+    let update = follower.answer(at(1_000), changes(after(28)), &mut random());
+    assert_eq!(update, None);
+    assert!(lists(&follower));
+    let update = follower.answer(at(2_000), page(after(28)), &mut random());
+    let whole = Update::Whole {
+        at: after(28),
+        items: vec![1],
+    };
+    assert_eq!(update, Some(whole));
+    let late = follower.answer(at(3_000), changes(before(27)), &mut random());
+    assert_eq!(late, None);
+    assert!(!follower.is_usable(), "it confirms nothing");
+}
+
+#[test]
+fn a_list_does_not_join_pages_of_two_eras() {
+    let mut follower = TestFollower::new(FollowerSettings::default());
+    let first = Answer::Page {
+        items: vec![1, 2],
+        next_after: Some("2".to_owned()),
+        at: before(26),
+    };
+    follower.answer::<u32>(at(0), first, &mut random());
+    let second = Answer::Page {
+        items: vec![4],
+        next_after: None,
+        at: after(24),
+    };
+    let update = follower.answer::<u32>(at(100), second, &mut random());
+    assert_eq!(update, None);
+    assert!(lists(&follower));
+}
+
+const NEWEST_LIST: Read = Read::List {
+    after: None,
+    freshness: Freshness::Newest,
+};
+
+fn reply(era: Option<u16>, at: u64) -> Reply<u32, u32> {
+    let era = era.map(StoreEra);
+    let at = Revision::in_era(era.unwrap_or_default(), at).unwrap();
+    Reply {
+        era,
+        answer: page(at),
+    }
+}
+
+#[test]
+fn answers_of_an_earlier_era_do_not_count() {
+    let mut eras = EraTracker::default();
+    let context = eras.call_context(before(26));
+    let mut judge = |era| eras.judge(at(0), context, &NEWEST_LIST, &reply(era, 26));
+    assert_eq!(judge(Some(3)), Standing::Current);
+    assert_eq!(judge(Some(4)), Standing::Current);
+    assert_eq!(judge(Some(3)), Standing::Outdated);
+    assert_eq!(judge(None), Standing::Outdated, "the store tells its era");
+    assert_eq!(eras.era(), StoreEra(4));
+}
+
+/// Two nodes may notice one restoration together, and hear of each other's news before their own answers come.
+#[test]
+fn one_restoration_is_noticed_once() {
+    let mut eras = EraTracker::default();
+    let context = eras.call_context(before(26));
+    eras.note(at(0), StoreEra(1));
+    let late = reply(None, 24);
+    let standing = eras.judge(at(10), context, &NEWEST_LIST, &late);
+    assert_eq!(standing, Standing::Outdated);
+    assert_eq!(eras.era(), StoreEra(1));
+    let context = eras.call_context(after(24));
+    let next = reply(None, 24);
+    let standing = eras.judge(at(20), context, &NEWEST_LIST, &next);
+    assert_eq!(standing, Standing::Current);
+    let again = reply(None, 23);
+    let standing = eras.judge(at(30), context, &NEWEST_LIST, &again);
+    assert_eq!((standing, eras.era()), (Standing::Restored, StoreEra(2)));
+}
+
+#[test]
+fn a_read_that_may_be_stale_tells_nothing_of_a_restoration() {
+    let mut eras = EraTracker::default();
+    let stale = Read::List {
+        after: None,
+        freshness: Freshness::MayBeStale,
+    };
+    let context = eras.call_context(before(26));
+    let standing = eras.judge(at(0), context, &stale, &reply(None, 24));
+    assert_eq!((standing, eras.era()), (Standing::Current, StoreEra(0)));
+}
+
+/// The one node that reads the restored store's list tells all others.
+fn adopted_within(cluster: &mut Cluster, milliseconds: u64, instances: u64) -> (usize, usize) {
+    let reader = cluster.with_duty(StoreDuty::Reader)[0];
+    let copy: Vec<InstanceRecord> = (1..instances).map(|id| restored(record(id, id))).collect();
+    let update = Update::Whole {
+        at: after(instances),
+        items: copy,
+    };
+    let now = at(cluster.now);
+    let node = cluster.nodes.get_mut(&reader).unwrap();
+    let outcome = node.coordinator.instances(now, update);
+    cluster.traffic.clear();
+    cluster.perform(reader, outcome);
+    cluster.run(milliseconds);
+    let nodes = cluster.nodes.len();
+    let knows = |number: &usize| {
+        let replica = cluster.nodes[&address(*number)].coordinator.replica();
+        replica.directory().as_of() >= Some(after(instances))
+    };
+    let adopted = (0..nodes).filter(knows).count();
+    let told = ["delta", "snapshot"].into_iter();
+    let told = told.filter_map(|kind| cluster.traffic.get(kind));
+    let bytes: usize = told.flatten().sum();
+    (adopted, bytes / nodes)
+}
+
+#[test]
+fn all_nodes_learn_of_a_restoration_within_a_second_whatever_their_number() {
+    let costs = [10, 100, 1_000].map(|nodes| {
+        let mut cluster = in_five_zones(nodes, 400);
+        let (adopted, bytes) = adopted_within(&mut cluster, 1_000, 400);
+        assert_eq!(adopted, nodes, "of {nodes}");
+        let era = cluster.nodes[&address(nodes - 1)].coordinator.era();
+        assert_eq!(era, StoreEra(1));
+        bytes
+    });
+    let [small, _, large] = costs;
+    assert!(large * 2 <= small * 3, "bytes a node: {costs:?}");
+}
+
+#[test]
+fn a_node_that_learned_of_a_restoration_reads_the_newest_state_for_a_while() {
+    let mut cluster = in_five_zones(10, 40);
+    adopted_within(&mut cluster, 1_000, 40);
+    let backup = cluster.with_duty(StoreDuty::Backup)[0];
+    let plan = |cluster: &Cluster, now: u64| {
+        let node = &cluster.nodes[&backup];
+        let kind = bellyoke_core::cookie::freshness::ObjectKind::Instances;
+        node.coordinator.watch_plan(at(now), kind)
+    };
+    assert_eq!(plan(&cluster, cluster.now), WATCHES);
+    let later = cluster.now + u64::try_from(Duration::from_secs(10).as_millis()).unwrap();
+    assert_eq!(
+        plan(&cluster, later),
+        WatchPlan::Watch(Freshness::MayBeStale)
+    );
+}
