Show that a lagging stale read passes for the newest state, failing

While nobody watches the newest state, since all watchers have died or lost the store, other nodes ask it by reads that may be stale, and take each answer as word that nothing is newer. Found by looking for what else makes a change late after a restoration: no node had the reader's duty for 6.8 s then.

--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -760,3 +760,22 @@
     };
     holds(&scenario, 0.95);
 }
+
+/// Who watches the store for all is gone, and stale reads, which the others then make, lag by seconds: they may be made, but
+/// don't show that nothing is newer.
+fn change_without_watchers_of_a_lagging_store(harm: Action) -> Scenario {
+    let lagging = change_without_watchers(harm);
+    lagging.at(2_000, Action::Staleness(ms(5_000)))
+}
+
+#[test]
+fn changes_are_in_force_in_time_though_stale_reads_lag_and_all_watchers_die() {
+    let killed = Action::KillWatchers { down: ms(3_000) };
+    holds(&change_without_watchers_of_a_lagging_store(killed), 0.9);
+}
+
+#[test]
+fn changes_are_in_force_in_time_though_stale_reads_lag_and_all_watchers_lose_the_store() {
+    let scenario = change_without_watchers_of_a_lagging_store(Action::CutWatchers);
+    holds(&scenario, 1.0);
+}
