Take only reads of the newest state for word that nothing is newer

What callers would have seen: a drain or a configuration not in force within 3 s while the nodes that watch the store are dead or cut off from it and its stale reads lag.

Cause: each answer of the store, also to a read that may be seconds old, renewed a node's belief that its state was the newest, and others took it over. With the reader gone (a claim lapses after 5 s and counts after 2 s) all nodes lived by stale reads that confirmed each other.

Now a stale answer confirms nothing once anybody has read the newest state (right after a start of all nobody has, and then it does). Heartbeats tell which kind of word theirs is. A node whose word is too old asks for the newest state and wants the answer at once, so that others may rest; one that is refused such a read (429) makes a stale one meanwhile. The reader's watch waits for half the time for which others rest, and pauses for a third, since its answers are now what confirms.

Tests replaced: a_listener_that_hears_nothing_watches_by_stale_reads asked for what was the fault, and is now a_listener_that_hears_nothing_asks_for_the_newest_state; a_node_that_has_just_started_makes_nothing_younger asks for Confirm instead of a rest that is over; two follower tests take the wait and the pause from the settings; RestForever rests in each plan that it ablates.

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -132,7 +132,8 @@
         match self.exchange.watch_plan(now, kind, versions) {
             plan if !self.eras.was_restored_of_late(now) => plan,
             plan @ WatchPlan::RestUntil(time) if now < time => plan,
-            WatchPlan::Watch(_) | WatchPlan::RestUntil(_) => WatchPlan::Watch(Freshness::Newest),
+            WatchPlan::Watch(_) => WatchPlan::Watch(Freshness::Newest),
+            WatchPlan::Confirm | WatchPlan::RestUntil(_) => WatchPlan::Confirm,
         }
     }
 
@@ -179,8 +180,8 @@
     }
 
     /// A call to the store for objects of a kind begins.
-    pub fn note_asked(&mut self, now: Timestamp, kind: ObjectKind) {
-        self.exchange.note_asked(now, kind);
+    pub fn note_asked(&mut self, now: Timestamp, kind: ObjectKind, freshness: Freshness) {
+        self.exchange.note_asked(now, kind, freshness);
     }
 
     /// Whether the store answered the last call for objects of a kind.
--- a/crates/bellyoke-core/src/cookie/exchange/asking.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/asking.rs
@@ -9,6 +9,7 @@
 //! A node that hears no peer, or whose peers are confirmed while it is not, doesn't wait for a turn.
 
 use super::Exchange;
+use crate::cookie::follower::Freshness;
 use crate::cookie::freshness::ObjectKind;
 use crate::time::Timestamp;
 use rand::RngExt;
@@ -57,6 +58,8 @@
     first_turn: [f64; ObjectKind::COUNT],
     /// Share of the addresses that peers mention which this node knows already.
     known_share: f64,
+    /// By [`ObjectKind`]: how new the answer to the last call must be.
+    asked: [Freshness; ObjectKind::COUNT],
 }
 
 impl AskPacer {
@@ -69,9 +72,14 @@
             next_turn: [Timestamp::ZERO; ObjectKind::COUNT],
             first_turn: [0.0; ObjectKind::COUNT],
             known_share: 1.0,
+            asked: [Freshness::Newest; ObjectKind::COUNT],
         }
     }
 
+    pub(super) const fn asked(&self, kind: ObjectKind) -> Freshness {
+        self.asked[kind as usize]
+    }
+
     pub(super) fn heard(&mut self, now: Timestamp) {
         self.heard_at = Some(now);
     }
@@ -137,7 +145,8 @@
     }
 
     /// A call to the store for a kind begins. If it fails, this says when the next may begin.
-    pub fn note_asked(&mut self, now: Timestamp, kind: ObjectKind) {
+    pub fn note_asked(&mut self, now: Timestamp, kind: ObjectKind, freshness: Freshness) {
+        self.pacer.asked[kind as usize] = freshness;
         let turn = self.random.random_range(0.0..1.0);
         let turn = self.turn_time(FAILED_INTERVAL).mul_f64(turn);
         self.pacer.next_turn[kind as usize] = now.after(turn);
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -67,6 +67,8 @@
     pub peers_know: bool,
     /// How long ago its state was known to be the newest, milliseconds; none if it never was.
     pub confirmed_age_milliseconds: Option<u32>,
+    /// Whether that is known from a read of the newest state, and not from one that may be stale.
+    pub confirmed_by_newest: bool,
     /// Where it stands, and what it can bear.
     pub place: NodePlace,
     /// The best claims to watch the store that it knows.
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -92,6 +92,8 @@
     /// Since when this node's own claim has been among the best.
     claimed_since: Option<Timestamp>,
     store_usable: bool,
+    /// Whether this node, or one that it heard, has read the newest state, and not only states that may be stale.
+    newest_was_read: bool,
     clock: FreshnessClock,
     pacer: AskPacer,
     /// The last confirmation that was pushed on.
@@ -133,6 +135,7 @@
             claims: ClaimTable::default(),
             claimed_since: None,
             store_usable: true,
+            newest_was_read: false,
             clock: FreshnessClock::new(settings.reads_zones),
             pacer: AskPacer::new(),
             told_confirmation: Timestamp::ZERO,
@@ -269,7 +272,8 @@
         if let Some(confirmed_at) = self.confirmation(now, heartbeat) {
             self.pacer.peer_confirmed(confirmed_at);
             if !behind(heartbeat.versions) {
-                self.hear_confirmation(now, confirmed_at, own, &mut effects);
+                let by_newest = heartbeat.confirmed_by_newest;
+                self.hear_confirmation(now, confirmed_at, by_newest, own, &mut effects);
             }
         }
         self.reply(now, from, heartbeat, own, &mut effects);
@@ -404,6 +408,7 @@
             leaving: self.leaving,
             peers_know: false,
             confirmed_age_milliseconds: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+            confirmed_by_newest: self.newest_was_read,
             place: self.own_place(),
             claims: self.claims.claims(now),
             peers: self
--- a/crates/bellyoke-core/src/cookie/exchange/watching.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/watching.rs
@@ -26,7 +26,9 @@
         }
     }
 
-    /// The store has confirmed this node's state of a kind.
+    /// The store has answered this node's last call for objects of a kind, and what it told is taken over. A read that may
+    /// be stale shows that nothing is newer only as long as nobody has read the newest state, as right after a start of
+    /// all: it may lag by seconds.
     pub fn store_confirmed(
         &mut self,
         now: Timestamp,
@@ -34,7 +36,9 @@
         own: Versions,
     ) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
-        if now >= self.distrust_until {
+        let tells_newest = self.pacer.asked(kind) == Freshness::Newest;
+        self.newest_was_read |= tells_newest;
+        if now >= self.distrust_until && (tells_newest || !self.newest_was_read) {
             self.clock.confirm(kind, now);
             self.push_confirmation(now, own, &mut effects);
         }
@@ -69,10 +73,14 @@
     /// How this node goes on reading objects of a kind.
     #[must_use]
     pub fn watch_plan(&self, now: Timestamp, kind: ObjectKind, own: Versions) -> WatchPlan {
-        match (self.duty(now), self.clock.confirmed_at(kind)) {
+        let confirmed_at = self.clock.confirmed_at(kind);
+        let stale_at = confirmed_at.map(|at| at.after(self.settings.freshness_bound));
+        let is_fresh = stale_at.is_some_and(|stale_at| now < stale_at);
+        match (self.duty(now), stale_at) {
             (StoreDuty::Reader, _) => WatchPlan::Watch(Freshness::Newest),
-            (StoreDuty::Listener, Some(confirmed_at)) if !own.is_empty() => {
-                WatchPlan::RestUntil(confirmed_at.after(self.settings.freshness_bound))
+            _ if !is_fresh && self.newest_was_read => WatchPlan::Confirm,
+            (StoreDuty::Listener, Some(stale_at)) if !own.is_empty() => {
+                WatchPlan::RestUntil(stale_at)
             }
             (StoreDuty::Backup | StoreDuty::Listener, _) => WatchPlan::Watch(Freshness::MayBeStale),
         }
@@ -119,14 +127,20 @@
         Some(now.before(Duration::from_millis(u64::from(age))))
     }
 
-    /// A peer that this node isn't behind was confirmed at a time: so is this node.
+    /// A peer that this node isn't behind was confirmed at a time: so is this node. Word that rests on stale reads counts for
+    /// nothing once the newest state was read.
     pub(super) fn hear_confirmation(
         &mut self,
         now: Timestamp,
         confirmed_at: Timestamp,
+        by_newest: bool,
         own: Versions,
         effects: &mut Vec<ExchangeEffect>,
     ) {
+        if self.newest_was_read && !by_newest {
+            return;
+        }
+        self.newest_was_read |= by_newest;
         self.clock.confirm_all(confirmed_at);
         self.push_confirmation(now, own, effects);
     }
--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -17,12 +17,12 @@
     /// How long the store may hold a watch open that may be stale. A connection that says
     /// nothing for longer is dead, so this bounds how long a cut goes unnoticed.
     pub watch_wait: Duration,
-    /// The same for a reader's watch, which is dearer. It may not be much longer: a reader whose
-    /// connection went mute is as blind as any other node.
+    /// The same for a watch of the newest state, which is dearer. With [`Self::reader_pause`] it must be shorter than the
+    /// time for which others rest after a confirmation: the answer is their next one.
     pub reader_watch_wait: Duration,
     /// Pause of a stale watch after changes, so that those that come together cost one call.
     pub pause: Duration,
-    /// The same for a reader's watch.
+    /// The same for a watch of the newest state.
     pub reader_pause: Duration,
     /// Pause after the first failure; doubles with each further one.
     pub backoff_first: Duration,
@@ -45,13 +45,16 @@
 /// waited 1 s for the first page a dozen go on in each tenth of a second.
 const LONGEST_LIST_WAIT: Duration = Duration::from_secs(8);
 
+/// How long a watch may wait whose answer is wanted at once.
+const CONFIRM_WAIT: Duration = Duration::from_millis(10);
+
 impl Default for FollowerSettings {
     fn default() -> Self {
         Self {
             watch_wait: Duration::from_millis(750),
-            reader_watch_wait: Duration::from_millis(3_000),
+            reader_watch_wait: Duration::from_millis(750),
             pause: Duration::from_millis(50),
-            reader_pause: Duration::from_millis(1_000),
+            reader_pause: Duration::from_millis(500),
             backoff_first: Duration::from_millis(100),
             backoff_longest: Duration::from_millis(1_000),
             list_weight: 1.0,
@@ -73,6 +76,8 @@
 pub enum WatchPlan {
     /// It watches.
     Watch(Freshness),
+    /// It asks whether anything is newer, and doesn't wait for a change: others may rest as soon as it knows.
+    Confirm,
     /// It asks nothing until then.
     RestUntil(Timestamp),
 }
@@ -98,6 +103,16 @@
     },
 }
 
+impl Read {
+    /// How new the answer must be.
+    #[must_use]
+    pub const fn freshness(&self) -> Freshness {
+        match self {
+            Self::List { freshness, .. } | Self::Watch { freshness, .. } => *freshness,
+        }
+    }
+}
+
 /// What a follower wants next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -236,6 +251,8 @@
     /// Whether it may be answered from an older state. One whose history is gone may be that of a store that lags: others
     /// are told what is new, and a list each time costs the store 2.5 MB at 10,000 instances.
     asked_stale: bool,
+    /// Whether the last call was refused as one too many. The store may still answer cheaper reads, which may be stale.
+    throttled: bool,
     /// The store's era. What was read in an earlier one is no place to go on from.
     era: StoreEra,
 }
@@ -252,6 +269,7 @@
             changed_at: None,
             asked_at: None,
             asked_stale: false,
+            throttled: false,
             era: StoreEra(0),
         }
     }
@@ -334,6 +352,7 @@
         answer: Answer<Item, Event>,
         random: &mut impl Rng,
     ) -> Option<Update<Item, Event>> {
+        self.throttled = matches!(answer, Answer::Throttled);
         match answer {
             Answer::Page { at, .. } | Answer::Changes { at, .. } if at.era() < self.era => {
                 self.back_off(now, random);
@@ -409,7 +428,9 @@
 
     fn watch(&self, now: Timestamp, from: Revision, plan: WatchPlan) -> Next {
         let freshness = match plan {
+            WatchPlan::Watch(_) | WatchPlan::Confirm if self.throttled => Freshness::MayBeStale,
             WatchPlan::Watch(freshness) => freshness,
+            WatchPlan::Confirm => Freshness::Newest,
             WatchPlan::RestUntil(time) if now < time => return Next::WaitUntil(time),
             WatchPlan::RestUntil(_) => Freshness::MayBeStale,
         };
@@ -429,7 +450,11 @@
         }
         Next::Call(Read::Watch {
             from,
-            wait,
+            wait: if plan == WatchPlan::Confirm {
+                CONFIRM_WAIT
+            } else {
+                wait
+            },
             freshness,
         })
     }
--- a/crates/bellyoke-core/tests/cookie/exchange.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange.rs
@@ -136,6 +136,7 @@
             leaving: false,
             peers_know: false,
             confirmed_age_milliseconds: None,
+            confirmed_by_newest: false,
             place: NodePlace::default(),
             claims: vec![WatcherClaim {
                 address: address(number),
@@ -310,6 +311,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: None,
+        confirmed_by_newest: false,
         place: NodePlace::default(),
         claims: Vec::new(),
         peers: Vec::new(),
@@ -338,7 +340,7 @@
     };
     node.configurations(at(10_000), routes);
     for kind in ObjectKind::ALL {
-        node.note_asked(at(10_000), kind);
+        node.note_asked(at(10_000), kind, Freshness::Newest);
         node.note_store(at(10_000), kind, false);
     }
     let heartbeat = |number: u8| Heartbeat {
@@ -350,6 +352,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: Some(age),
+        confirmed_by_newest: true,
         place: NodePlace::default(),
         claims: Vec::new(),
         peers: vec![suggestion(usize::from(number)); 6],
@@ -373,7 +376,7 @@
     times.find(|now| {
         let rests = match node.watch_plan(at(*now), ObjectKind::Instances) {
             WatchPlan::RestUntil(until) => at(*now) < until,
-            WatchPlan::Watch(_) => false,
+            WatchPlan::Watch(_) | WatchPlan::Confirm => false,
         };
         !rests && node.may_ask(at(*now), ObjectKind::Instances)
     })
@@ -412,6 +415,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: None,
+        confirmed_by_newest: false,
         place: NodePlace::default(),
         claims: Vec::new(),
         peers: [1, 2, 3].map(suggestion).to_vec(),
@@ -474,6 +478,7 @@
             leaving: false,
             peers_know: false,
             confirmed_age_milliseconds: Some(age),
+            confirmed_by_newest: true,
             place: NodePlace::default(),
             claims: Vec::new(),
             peers: Vec::new(),
@@ -518,6 +523,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: Some(3_000),
+        confirmed_by_newest: true,
         place: NodePlace::default(),
         claims: vec![WatcherClaim {
             address: address(77),
@@ -531,7 +537,7 @@
     let datagram = PeerDatagram::Heartbeat(heartbeat);
     newborn.datagram(at(START + 50), address(0), datagram);
     let plan = newborn.watch_plan(at(START + 60), ObjectKind::Instances);
-    assert!(matches!(plan, WatchPlan::RestUntil(until) if until <= at(START + 60)));
+    assert_eq!(plan, WatchPlan::Confirm, "it doesn't rest");
     let (outcome, _) = newborn.tick(at(START + 200));
     let told = outcome
         .effects
@@ -548,16 +554,15 @@
 }
 
 #[test]
-fn a_listener_that_hears_nothing_watches_by_stale_reads() {
+fn a_listener_that_hears_nothing_asks_for_the_newest_state() {
     let cluster = watched(5);
     let listener = cluster.with_duty(StoreDuty::Listener)[0];
     let coordinator = &cluster.nodes[&listener].coordinator;
+    let rests = coordinator.watch_plan(at(cluster.now), ObjectKind::Instances);
+    assert!(matches!(rests, WatchPlan::RestUntil(until) if until > at(cluster.now)));
     let later = cluster.now + 10_000;
-    let WatchPlan::RestUntil(until) = coordinator.watch_plan(at(later), ObjectKind::Instances)
-    else {
-        panic!("a listener rests");
-    };
-    assert!(until < at(later), "its rest is over");
+    let plan = coordinator.watch_plan(at(later), ObjectKind::Instances);
+    assert_eq!(plan, WatchPlan::Confirm, "its rest is over");
     let reader = cluster.with_duty(StoreDuty::Reader)[0];
     let plan = cluster.nodes[&reader]
         .coordinator
@@ -618,6 +623,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: None,
+        confirmed_by_newest: false,
         place: NodePlace::default(),
         claims: Vec::new(),
         peers: [1, 2, 3].map(suggestion).to_vec(),
@@ -655,6 +661,7 @@
                 leaving: false,
                 peers_know: false,
                 confirmed_age_milliseconds: None,
+                confirmed_by_newest: false,
                 place: NodePlace::default(),
                 claims: Vec::new(),
                 peers: Vec::new(),
--- a/crates/bellyoke-core/tests/cookie/exchange_zones.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -283,6 +283,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: None,
+        confirmed_by_newest: false,
         place: NodePlace {
             zone: ZoneKey(zone),
             class,
--- a/crates/bellyoke-core/tests/cookie/follower.rs
+++ b/crates/bellyoke-core/tests/cookie/follower.rs
@@ -153,7 +153,7 @@
 fn newest_watch(from: u64) -> Next {
     Next::Call(Read::Watch {
         from: Revision::new(from),
-        wait: Duration::from_secs(3),
+        wait: FollowerSettings::default().reader_watch_wait,
         freshness: Freshness::Newest,
     })
 }
@@ -176,8 +176,9 @@
     assert_eq!(harness.next(), Next::WaitUntil(at(5_050)));
     let plan = WatchPlan::Watch(Freshness::Newest);
     let next = |now| harness.follower.next(at(now), plan);
-    assert_eq!(next(5_000), Next::WaitUntil(at(6_000)));
-    assert_eq!(next(6_000), newest_watch(12));
+    let pause_ends = at(5_000).after(FollowerSettings::default().reader_pause);
+    assert_eq!(next(5_000), Next::WaitUntil(pause_ends));
+    assert_eq!(harness.follower.next(pause_ends, plan), newest_watch(12));
 }
 
 #[test]
@@ -370,3 +371,34 @@
         assert!(matches!(harness.next(), Next::Call(Read::Watch { .. })));
     }
 }
+
+#[test]
+fn a_node_that_needs_word_at_once_does_not_wait_for_a_change() {
+    let harness = Harness::watching();
+    let next = harness.follower.next(at(0), WatchPlan::Confirm);
+    let Next::Call(Read::Watch {
+        wait, freshness, ..
+    }) = next
+    else {
+        panic!("{next:?}");
+    };
+    assert_eq!(freshness, Freshness::Newest);
+    assert!(wait < FollowerSettings::default().watch_wait / 10);
+}
+
+/// A store that refuses reads of the newest state for being too many still answers cheaper ones.
+#[test]
+fn a_watch_that_was_refused_is_made_again_by_a_stale_read() {
+    let mut harness = Harness::watching();
+    harness.answer(Answer::Throttled);
+    let plan = WatchPlan::Watch(Freshness::Newest);
+    let next = harness.follower.next(at(5_000), plan);
+    assert!(
+        matches!(next, Next::Call(Read::Watch { freshness, .. }) if freshness == Freshness::MayBeStale)
+    );
+    harness.answer(Answer::Changes {
+        events: Vec::new(),
+        at: Revision::new(10),
+    });
+    assert_eq!(harness.follower.next(at(5_000), plan), newest_watch(10));
+}
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -33,6 +33,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: Some(750),
+        confirmed_by_newest: true,
         place,
         claims: (0..3)
             .map(|last| WatcherClaim {
--- a/crates/bellyoke-core/tests/cookie/reachability.rs
+++ b/crates/bellyoke-core/tests/cookie/reachability.rs
@@ -251,6 +251,7 @@
         leaving: false,
         peers_know: false,
         confirmed_age_milliseconds: None,
+        confirmed_by_newest: false,
         place: NodePlace::default(),
         claims: Vec::new(),
         peers: Vec::new(),
--- a/crates/bellyoke-core/tests/cookie/restoration.rs
+++ b/crates/bellyoke-core/tests/cookie/restoration.rs
@@ -15,7 +15,6 @@
 use bellyoke_core::cookie::zones::{DrainedZone, REWRITE_TIME, ZoneDrains, ZoneEvent};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::time::Duration;
 
 const fn before(number: u64) -> Revision {
     Revision::new(number)
@@ -423,9 +422,9 @@
         node.coordinator.watch_plan(at(now), kind)
     };
     assert_eq!(plan(&cluster, cluster.now), WATCHES);
-    let later = cluster.now + u64::try_from(Duration::from_secs(10).as_millis()).unwrap();
+    cluster.run(10_000);
     assert_eq!(
-        plan(&cluster, later),
+        plan(&cluster, cluster.now),
         WatchPlan::Watch(Freshness::MayBeStale)
     );
 }
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -381,7 +381,7 @@
         {
             *freshness = Freshness::Newest;
         }
-        self.coordinator.note_asked(now, kind);
+        self.coordinator.note_asked(now, kind, read.freshness());
         match kind {
             ObjectKind::Instances => self.instances.asked(now, &read),
             ObjectKind::Configuration => self.configurations.asked(now, &read),
@@ -529,13 +529,19 @@
             WatchPlan::Watch(Freshness::Newest) if self.lacks(Ablation::NoReader) => {
                 WatchPlan::Watch(Freshness::MayBeStale)
             }
-            WatchPlan::RestUntil(_) if self.lacks(Ablation::RestForever) => {
+            _ if self.lacks(Ablation::RestForever) && self.was_confirmed(now) => {
                 WatchPlan::RestUntil(now.after(FOREVER))
             }
             plan => plan,
         }
     }
 
+    /// Whether it doesn't watch for others, and was told that its state is the newest.
+    fn was_confirmed(&self, now: Timestamp) -> bool {
+        let exchange = self.coordinator.exchange();
+        !self.watches(now) && exchange.confirmation_age(now).is_some()
+    }
+
     fn lacks(&self, ablation: Ablation) -> bool {
         self.ablations.contains(&ablation)
     }
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -52,7 +52,7 @@
             Next::Call(read) => read,
         };
         let asked_at = clock.now();
-        link.control.borrow_mut().note_asked(kind);
+        link.control.borrow_mut().note_asked(kind, read.freshness());
         let context = link.control.borrow().call_context();
         follower.asked(asked_at, &read);
         let hedge = || link.control.borrow().asks_for_all();
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -11,7 +11,7 @@
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, FetchRequest, PeerDatagram, PeerKey, StoreDuty,
 };
-use bellyoke_core::cookie::follower::{Read, Reply, Update, WatchPlan};
+use bellyoke_core::cookie::follower::{Freshness, Read, Reply, Update, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::publication::TablePacer;
@@ -266,8 +266,9 @@
     }
 
     /// A call to the store for a kind begins.
-    pub fn note_asked(&mut self, kind: ObjectKind) {
-        self.coordinator.note_asked(self.clock.now(), kind);
+    pub fn note_asked(&mut self, kind: ObjectKind, freshness: Freshness) {
+        let now = self.clock.now();
+        self.coordinator.note_asked(now, kind, freshness);
     }
 
     /// The store has answered a call for a kind, or not.
--- a/crates/bellyoke-node/src/process/run.rs
+++ b/crates/bellyoke-node/src/process/run.rs
@@ -262,8 +262,11 @@
 
 fn follow_store<S: Store>(link: &PeerLink, settings: &Settings, store: &S) {
     let address = settings.store.address;
+    let freshness_bound = settings.timing.freshness_bound();
     let follower = FollowerSettings {
         watch_wait: settings.timing.watch_wait(),
+        reader_watch_wait: freshness_bound / 2,
+        reader_pause: freshness_bound / 3,
         list_weight: settings.place().class.relative_weight(),
         ..FollowerSettings::default()
     };
