Take the first era that a node hears of for no restoration

A node that starts with a store that has been restored before would have taken its first answer for word of a restoration: a false line in its log and ten seconds of dear reads at each start. The first era that it hears of now counts as known. One function says what an answer counts for, which the daemon and the model had written twice.

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -143,6 +143,12 @@
         self.eras.era()
     }
 
+    /// Whether the store was restored since this node learned of it.
+    #[must_use]
+    pub const fn store_was_restored(&self) -> bool {
+        self.eras.was_restored()
+    }
+
     /// What to hand in with the reply to a call that begins now.
     #[must_use]
     pub fn call_context(&self) -> CallContext {
@@ -268,7 +274,7 @@
     /// A snapshot that was fetched from a peer has come.
     pub fn snapshot(&mut self, now: Timestamp, from: SocketAddrV4, snapshot: Snapshot) -> Outcome {
         let before = self.replica.versions();
-        self.eras.note(now, snapshot.versions.latest().era());
+        self.note_versions(now, snapshot.versions);
         self.exchange.fetched(from, snapshot.versions);
         let change = self.replica.merge(now, snapshot);
         self.changed(now, before, change)
@@ -359,7 +365,7 @@
     }
 
     fn heartbeat(&mut self, now: Timestamp, from: SocketAddrV4, heartbeat: &Heartbeat) -> Outcome {
-        self.eras.note(now, heartbeat.versions.latest().era());
+        self.note_versions(now, heartbeat.versions);
         self.replica.confirm(heartbeat.versions);
         let replica = &self.replica;
         let behind = |versions| replica.is_behind(versions);
@@ -374,7 +380,7 @@
 
     fn delta(&mut self, now: Timestamp, from: SocketAddrV4, message: DeltaMessage) -> Outcome {
         let before = self.replica.versions();
-        self.eras.note(now, message.versions.latest().era());
+        self.note_versions(now, message.versions);
         let change = self.replica.merge_delta(now, message.delta);
         self.replica.confirm(message.versions);
         self.exchange.note_versions(from, message.versions);
@@ -410,6 +416,13 @@
         Outcome { change, effects }
     }
 
+    /// A peer has told its versions, and with them the era of the store that it knows.
+    fn note_versions(&mut self, now: Timestamp, versions: Versions) {
+        if !versions.is_empty() {
+            self.eras.note(now, versions.latest().era());
+        }
+    }
+
     /// After a stall, confirmations that waited in sockets are old.
     fn notice_stall(&mut self, now: Timestamp) {
         if self.stall.is_overdue(now) {
--- a/crates/bellyoke-core/src/cookie/era.rs
+++ b/crates/bellyoke-core/src/cookie/era.rs
@@ -33,6 +33,18 @@
     Restored,
 }
 
+impl Standing {
+    /// The answer as far as it counts: a follower lists anew on word of a restoration.
+    #[must_use]
+    pub fn counting<Item, Event>(self, answer: Answer<Item, Event>) -> Answer<Item, Event> {
+        match self {
+            Self::Current => answer,
+            Self::Outdated => Answer::Failed,
+            Self::Restored => Answer::HistoryGone,
+        }
+    }
+}
+
 /// The store's eras as a node learns of them.
 ///
 /// ```
@@ -55,6 +67,8 @@
 #[derive(Debug, Default)]
 pub struct EraTracker {
     era: StoreEra,
+    /// Whether any era is known, be it the first.
+    is_known: bool,
     /// Whether the store tells its era.
     is_told: bool,
     /// When the node learned of the present era; none if it is the first one that it knows.
@@ -77,12 +91,19 @@
         }
     }
 
-    /// Hears of an era.
+    /// Hears of an era. The first one that a node hears of is no restoration.
     pub fn note(&mut self, now: Timestamp, era: StoreEra) {
         if era > self.era {
             self.era = era;
-            self.restored_at = Some(now);
+            self.restored_at = self.is_known.then_some(now);
         }
+        self.is_known = true;
+    }
+
+    /// Whether the store was restored since the node learned of it.
+    #[must_use]
+    pub const fn was_restored(&self) -> bool {
+        self.restored_at.is_some()
     }
 
     /// Whether the store was restored so lately that only its newest state counts.
@@ -115,6 +136,7 @@
         if self.is_told || context.era < self.era {
             return Standing::Outdated;
         }
+        self.note(now, context.era);
         if shows_a_loss(context, read, &reply.answer) {
             self.note(now, context.era.next());
             return Standing::Restored;
--- a/crates/bellyoke-core/tests/cookie/restoration.rs
+++ b/crates/bellyoke-core/tests/cookie/restoration.rs
@@ -340,6 +340,18 @@
     assert_eq!(eras.era(), StoreEra(4));
 }
 
+#[test]
+fn the_first_era_that_a_node_hears_of_is_no_restoration() {
+    let mut eras = EraTracker::default();
+    let context = eras.call_context(before(0));
+    let mut judge = |era| eras.judge(at(0), context, &NEWEST_LIST, &reply(era, 26));
+    judge(Some(7));
+    assert!(!eras.was_restored() && !eras.was_restored_of_late(at(0)));
+    eras.note(at(1_000), StoreEra(8));
+    assert!(eras.was_restored() && eras.was_restored_of_late(at(10_999)));
+    assert!(!eras.was_restored_of_late(at(11_000)));
+}
+
 /// Two nodes may notice one restoration together, and hear of each other's news before their own answers come.
 #[test]
 fn one_restoration_is_noticed_once() {
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -5,7 +5,7 @@
 use super::store::StoreAnswer;
 use bellyoke_core::cookie::capacity::NodePlace;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
-use bellyoke_core::cookie::era::{CallContext, Standing};
+use bellyoke_core::cookie::era::CallContext;
 use bellyoke_core::cookie::exchange::{
     DeltaMessage, Exchange, ExchangeEffect, ExchangeSettings, FetchRequest, PeerDatagram, StoreDuty,
 };
@@ -457,11 +457,7 @@
         let standing = self
             .coordinator
             .judge_reply(now, call.context, &call.read, &reply);
-        match standing {
-            Standing::Current => reply.answer,
-            Standing::Outdated => Answer::Failed,
-            Standing::Restored => Answer::HistoryGone,
-        }
+        standing.counting(reply.answer)
     }
 
     fn take_instances(
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -4,10 +4,9 @@
 use super::store::StoreReader;
 use crate::process::control::Control;
 use crate::process::metrics::{ControlMetrics, StoreCallLabels};
-use bellyoke_core::cookie::era::Standing;
 use bellyoke_core::cookie::exchange::ExchangeEffect;
 use bellyoke_core::cookie::follower::{
-    Answer, Follower, FollowerSettings, Freshness, Next, Read, Reply, Update,
+    Answer, Follower, FollowerSettings, Freshness, Next, Read, Update,
 };
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::time::Timestamp;
@@ -63,7 +62,7 @@
         let took = clock.now().since(asked_at);
         let mut control = link.control.borrow_mut();
         let standing = control.judge_reply(kind, context, &read, &reply);
-        let answer = counting_answer(standing, reply);
+        let answer = standing.counting(reply.answer);
         count(control.metrics(), kind, &read, &answer, took);
         let rejected = reader.rejected();
         control
@@ -82,18 +81,6 @@
     }
 }
 
-/// The answer of a reply, as far as it counts.
-fn counting_answer<Item, Event>(
-    standing: Standing,
-    reply: Reply<Item, Event>,
-) -> Answer<Item, Event> {
-    match standing {
-        Standing::Current => reply.answer,
-        Standing::Outdated => Answer::Failed,
-        Standing::Restored => Answer::HistoryGone,
-    }
-}
-
 /// The answer to a call; none once `needless` says that it isn't needed any more. The call is then
 /// dropped with its connection, so that a long answer takes no more of a thin link.
 async fn unless<Answer>(
--- a/crates/bellyoke-node/src/connection/store.rs
+++ b/crates/bellyoke-node/src/connection/store.rs
@@ -14,7 +14,9 @@
     /// A change of an object.
     type Event: 'static;
 
-    /// Makes a call. Revisions in the answer are of the era that the store tells, or of `era` if it tells none. A failure closes the connection; the next call opens another. While it is
+    /// Makes a call. Revisions in the answer are of the era that the store tells, or of `era` if it tells none.
+    ///
+    /// A failure closes the connection; the next call opens another. While it is
     /// not answered, `hedge` is asked now and then whether to make it again over another
     /// connection; the first answer counts.
     fn read(
--- a/crates/bellyoke-node/src/process/control/report.rs
+++ b/crates/bellyoke-node/src/process/control/report.rs
@@ -130,6 +130,9 @@
         }
         let before = std::mem::replace(&mut self.logged_era, era);
         self.metrics.store_era.set(i64::from(era.0));
+        if !self.coordinator.store_was_restored() {
+            return;
+        }
         let known = self.coordinator.replica().versions();
         log_event(
             EventCode::StoreRestored,
