--- a/crates/bellyoke-core/src/cookie/directory.rs
+++ b/crates/bellyoke-core/src/cookie/directory.rs
@@ -4,24 +4,25 @@
 //! and an outage of the store takes records of healthy instances. So a gone instance stays
 //! known (a tombstone) for as long as a flow of its may live, and its flows go on.
 
+mod restoration;
+mod succession;
+
+pub use succession::FirstCreation;
+
 use crate::cookie::delta::{DirectoryDelta, RevisionGap};
-use crate::cookie::instance::{Cookie, InstanceEvent, InstanceId, InstanceRecord, InstanceState};
+use crate::cookie::instance::{Cookie, InstanceEvent, InstanceId, InstanceRecord};
 use crate::cookie::revision::Revision;
 use crate::time::Timestamp;
-use hashbrown::HashMap;
+use restoration::is_of_another_era;
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
 use std::time::Duration;
+use succession::earlier;
 
 /// Most tombstones held; the oldest go first. 64 times the instances of the users' largest
 /// service.
 pub const MAXIMUM_TOMBSTONES: usize = 65_536;
 
-/// How long an instance takes no new flows that was known to have gone, and of which a restored store tells: that may be
-/// older, and then the store drops the record again once the instance has missed some heartbeats.
-const RETURN_DOUBT: Duration = Duration::from_secs(5);
-
 /// Most gaps held; each is 16 bytes in each delta across it. A store that forgets its history does so every few seconds
 /// at the worst, and peers are seconds behind at most.
 const MAXIMUM_GAPS: usize = 8;
@@ -54,17 +55,6 @@
     pub revision: Revision,
 }
 
-/// When the record of an instance was first created, for peers that may know only a later creation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct FirstCreation {
-    /// The instance.
-    pub id: InstanceId,
-    /// The run of it that the record told of.
-    pub started: Option<u64>,
-    /// The smallest creation known.
-    pub created: Revision,
-}
-
 /// All instances that a node knows.
 #[derive(Debug)]
 pub struct Directory {
@@ -147,92 +137,6 @@
         })
     }
 
-    /// Instances at whose address another one is present that was created later. What answers there is
-    /// the later one, so that they take no new flow. The store counts creations, and all nodes read
-    /// the same count; where one isn't known, nothing is told of either instance.
-    #[must_use]
-    pub fn succeeded(&self) -> &BTreeSet<InstanceId> {
-        self.succeeded.get_or_init(|| self.find_succeeded())
-    }
-
-    fn find_succeeded(&self) -> BTreeSet<InstanceId> {
-        let mut latest: HashMap<SocketAddrV4, Revision> = HashMap::with_capacity(self.known.len());
-        let present = self.known.values().filter(|known| known.gone_at.is_none());
-        for record in present.map(|known| &known.record) {
-            let Some(created) = record.created else {
-                continue;
-            };
-            let held = latest.entry(record.address).or_insert(created);
-            *held = created.max(*held);
-        }
-        let records = self.known.values().map(|known| &known.record);
-        let succeeded = records.filter(|record| {
-            let later = latest.get(&record.address).zip(record.created);
-            later.is_some_and(|(latest, created)| *latest > created)
-        });
-        succeeded.map(|record| record.id).collect()
-    }
-
-    /// Instances that have ended for certain: their records have gone, and another one that was
-    /// created later is present at their address. Two that run never share one.
-    #[must_use]
-    pub fn superseded(&self) -> BTreeSet<InstanceId> {
-        let mut ended = self.succeeded().clone();
-        let is_gone = |id: &InstanceId| {
-            self.known
-                .get(id)
-                .is_some_and(|known| known.gone_at.is_some())
-        };
-        ended.retain(is_gone);
-        ended
-    }
-
-    /// The first creations of present instances that share their address with another one: a peer that
-    /// has heard of them only since may take them for the later ones.
-    #[must_use]
-    pub fn first_creations(&self) -> Vec<FirstCreation> {
-        let mut holders: HashMap<SocketAddrV4, usize> = HashMap::with_capacity(self.known.len());
-        for known in self.known.values() {
-            *holders.entry(known.record.address).or_default() += 1;
-        }
-        let present = self.known.values().filter(|known| known.gone_at.is_none());
-        let shared = present.filter(|known| holders[&known.record.address] > 1);
-        let creations = shared.filter_map(|known| {
-            let created = known.record.created?;
-            (created < known.record.revision).then_some(FirstCreation {
-                id: known.record.id,
-                started: known.record.started,
-                created,
-            })
-        });
-        creations.collect()
-    }
-
-    /// Hears of creations, of which the smallest of an instance counts. Returns whether any was new.
-    pub fn learn_creations(&mut self, creations: impl IntoIterator<Item = FirstCreation>) -> bool {
-        let mut changed = false;
-        for FirstCreation {
-            id,
-            started,
-            created,
-        } in creations
-        {
-            let known = self.known.get_mut(&id);
-            let Some(known) = known.filter(|known| known.record.started == started) else {
-                continue;
-            };
-            let held = &mut known.record.created;
-            if held.is_none_or(|held| created < held) {
-                *held = Some(created);
-                changed = true;
-            }
-        }
-        if changed {
-            self.succeeded.take();
-        }
-        changed
-    }
-
     /// Takes over a whole list that was true at revision `at`, from the store or a peer.
     /// Returns whether anything changed; a list older than what is known changes nothing.
     pub fn replace(&mut self, now: Timestamp, at: Revision, records: Vec<InstanceRecord>) -> bool {
@@ -387,18 +291,6 @@
         self.forget_gone(now) || doubts_ended
     }
 
-    fn end_doubts(&mut self, now: Timestamp) -> bool {
-        if self.first_doubt_ends.is_none_or(|ends| now < ends) {
-            return false;
-        }
-        for known in self.known.values_mut() {
-            known.doubted_until = known.doubted_until.filter(|until| now < *until);
-        }
-        let doubts = self.known.values().filter_map(|known| known.doubted_until);
-        self.first_doubt_ends = doubts.min();
-        true
-    }
-
     fn forget_gone(&mut self, now: Timestamp) -> bool {
         let before = self.known.len();
         let lifetime = self.tombstone_lifetime;
@@ -510,49 +402,6 @@
         true
     }
 
-    /// Takes over a record of a run that is known from another era of the store. A copy may tell of a state that the instance
-    /// has left since: it doesn't take new flows again, nor does it start anew.
-    fn put_across_eras(&mut self, now: Timestamp, record: InstanceRecord) -> bool {
-        let Some(known) = self.known.get_mut(&record.id) else {
-            return false;
-        };
-        let drains = [record.state, known.record.state].contains(&InstanceState::Draining);
-        let state = if drains {
-            InstanceState::Draining
-        } else {
-            InstanceState::Ready
-        };
-        let created = earlier(known.record.created, record.created);
-        if record.revision < known.record.revision {
-            let changed = known.record.state != state;
-            known.record.state = state;
-            known.record.created = created;
-            return changed;
-        }
-        let told = InstanceRecord {
-            state,
-            created,
-            ..record
-        };
-        let returns = known.gone_at.is_some();
-        if !returns && tells_the_same(&told, &known.record) {
-            known.record.created = created;
-            return false;
-        }
-        if returns && known.gone_revision.era() < told.revision.era() {
-            let until = now.after(RETURN_DOUBT);
-            known.doubted_until = Some(until);
-            let first = self
-                .first_doubt_ends
-                .map_or(until, |first| first.min(until));
-            self.first_doubt_ends = Some(first);
-        }
-        known.gone_at = None;
-        known.gone_revision = Revision::new(0);
-        known.record = told;
-        true
-    }
-
     /// An instance is gone. One that came and went within one answer is known by its `record`
     /// there: a peer that asked in between may know it as present.
     fn remove(
@@ -616,17 +465,6 @@
     }
 }
 
-impl FirstCreation {
-    fn of(record: &InstanceRecord) -> Option<Self> {
-        let (id, started) = (record.id, record.started);
-        record.created.map(|created| Self {
-            id,
-            started,
-            created,
-        })
-    }
-}
-
 impl KnownInstance {
     fn record_at(&self, now: Timestamp) -> InstanceRecord {
         InstanceRecord {
@@ -665,29 +503,6 @@
     runs.is_some_and(|(started, other_started)| started < other_started)
 }
 
-/// Whether a record is of the run that is known, as told in another era of the store.
-fn is_of_another_era(record: &InstanceRecord, known: &KnownInstance) -> bool {
-    let same_run = record.started == known.record.started;
-    same_run && record.revision.era() != known.record.revision.era()
-}
-
-/// Whether two records of one run tell the same, but for their revisions.
-fn tells_the_same(one: &InstanceRecord, other: &InstanceRecord) -> bool {
-    one.service == other.service
-        && one.address == other.address
-        && one.zone == other.zone
-        && one.state == other.state
-        && one.slots == other.slots
-}
-
-/// The earlier of two creations, as far as they are known.
-fn earlier(one: Option<Revision>, other: Option<Revision>) -> Option<Revision> {
-    match (one, other) {
-        (Some(one), Some(other)) => Some(one.min(other)),
-        (one, other) => one.or(other),
-    }
-}
-
 fn saturating_milliseconds(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/bellyoke-node/src/process/control.rs
+++ b/crates/bellyoke-node/src/process/control.rs
@@ -1,24 +1,25 @@
 //! The state of the control thread, and what each event does to it.
 
 mod report;
+mod store;
 
 use super::metrics::ControlMetrics;
 use super::settings::{Settings, TimingSettings};
 use super::shared::Shared;
 use bellyoke_api::event_code::EventCode;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
-use bellyoke_core::cookie::era::{CallContext, Standing};
+
 use bellyoke_core::cookie::exchange::{
     Exchange, ExchangeEffect, ExchangeSettings, FetchRequest, PeerDatagram, PeerKey, StoreDuty,
 };
-use bellyoke_core::cookie::follower::{Freshness, Read, Reply, Update, WatchPlan};
+use bellyoke_core::cookie::follower::Update;
 use bellyoke_core::cookie::freshness::ObjectKind;
 use bellyoke_core::cookie::instance::{Cookie, InstanceEvent, InstanceRecord};
 use bellyoke_core::cookie::publication::TablePacer;
 use bellyoke_core::cookie::reachability::{ProbeBatch, ProbeOutcome};
 use bellyoke_core::cookie::readiness::{Lifecycle, Unready};
 use bellyoke_core::cookie::replica::{Replica, Snapshot, Source, StateChange, Versions};
-use bellyoke_core::cookie::revision::{Revision, StoreEra};
+use bellyoke_core::cookie::revision::StoreEra;
 use bellyoke_core::cookie::route::Configuration;
 use bellyoke_core::cookie::zones::{DrainedZone, ZoneEvent};
 use bellyoke_core::time::Timestamp;
@@ -241,81 +242,6 @@
         self.take(outcome, Source::Store)
     }
 
-    /// How this node goes on reading objects of a kind.
-    #[must_use]
-    pub fn watch_plan(&self, kind: ObjectKind) -> WatchPlan {
-        self.coordinator.watch_plan(self.clock.now(), kind)
-    }
-
-    /// Whether this node is one of the few that ask the store for all that know nothing.
-    #[must_use]
-    pub fn asks_for_all(&self) -> bool {
-        self.coordinator.asks_for_all()
-    }
-
-    /// The revision up to which everything of a kind is known.
-    #[must_use]
-    pub fn known_up_to(&self, kind: ObjectKind) -> Revision {
-        self.coordinator.known_up_to(kind)
-    }
-
-    /// Whether the node may call the store for a kind now.
-    #[must_use]
-    pub fn may_ask(&self, kind: ObjectKind) -> bool {
-        self.coordinator.may_ask(self.clock.now(), kind)
-    }
-
-    /// A call to the store for a kind begins.
-    pub fn note_asked(&mut self, kind: ObjectKind, freshness: Freshness) {
-        let now = self.clock.now();
-        self.coordinator.note_asked(now, kind, freshness);
-    }
-
-    /// The store has answered a call for a kind, or not.
-    pub fn note_answered(&mut self, kind: ObjectKind, answered: bool) {
-        self.coordinator
-            .note_store(self.clock.now(), kind, answered);
-    }
-
-    /// The latest era of the store that is known.
-    #[must_use]
-    pub const fn era(&self) -> StoreEra {
-        self.coordinator.era()
-    }
-
-    /// What to hand in with the reply to a call to the store that begins now.
-    #[must_use]
-    pub fn call_context(&self) -> CallContext {
-        self.coordinator.call_context()
-    }
-
-    /// What a reply of the store counts for.
-    pub fn judge_reply<Item, Event>(
-        &mut self,
-        kind: ObjectKind,
-        context: CallContext,
-        read: &Read,
-        reply: &Reply<Item, Event>,
-    ) -> Standing {
-        let now = self.clock.now();
-        let standing = self.coordinator.judge_reply(now, context, read, reply);
-        self.note_era(Source::Store);
-        if standing == Standing::Outdated {
-            self.log_outdated_reply(kind, context, reply.era);
-        }
-        standing
-    }
-
-    /// The store answers calls for a kind again, or has ceased to.
-    pub fn log_store(&self, kind: ObjectKind, usable: bool) {
-        let event = if usable {
-            EventCode::StoreReachable
-        } else {
-            EventCode::StoreUnreachable
-        };
-        log_event(event, format_args!("kind={}", kind.name()));
-    }
-
     /// A peer's snapshot has come.
     pub fn snapshot(&mut self, from: SocketAddrV4, snapshot: Snapshot) -> Vec<ExchangeEffect> {
         self.metrics.snapshots_fetched.inc();
