Check by a list whether a store that was away continues its history

Cause: the restored store had counted past the revision that nodes knew before any of them listed it. Their watches from that revision were answered, and what had been written below it was in no answer.

Fix: a node that has lost contact compares a list of the newest state with what it knows before it continues a watch. It knows all changes up to its revision, so an object that the list shows as last changed at or below it must be known with that revision and content. Without a contradiction the list is the state, whether the store was restored or not. Nodes that make no calls follow those that do; the whole state of a peer that contradicts the own one makes a node check as well.

--- a/crates/bellyoke-core/src/cookie/coordinator.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator.rs
@@ -3,10 +3,12 @@
 //! A host passes in the replies of the store and the messages of peers, performs the returned
 //! effects, and publishes the forwarding table after each change.
 
+mod continuity_check;
 mod outlier_detection;
 mod probing;
 
 use crate::cookie::capacity::BusyDetector;
+use crate::cookie::continuity::{ContinuityTracker, ListedObject};
 use crate::cookie::era::{AnswerValidity, CallContext, EraTracker};
 use crate::cookie::exchange::{
     DeltaMessage, Exchange, ExchangeEffect, FetchRequest, Heartbeat, PeerDatagram, StoreDuty,
@@ -60,6 +62,7 @@
     replica: Replica,
     exchange: Exchange,
     eras: EraTracker,
+    continuity: ContinuityTracker,
     stall: StallDetector,
     busy: BusyDetector,
     link_is_paced: bool,
@@ -82,6 +85,7 @@
             replica,
             exchange,
             eras: EraTracker::default(),
+            continuity: ContinuityTracker::new(),
             stall: StallDetector::new(),
             busy: BusyDetector::default(),
             link_is_paced: false,
@@ -131,6 +135,7 @@
     pub fn watch_plan(&self, now: Timestamp, kind: ObjectKind) -> WatchPlan {
         let versions = self.replica.versions();
         match self.exchange.watch_plan(now, kind, versions) {
+            WatchPlan::IdleUntil(_) if self.continuity.must_check() => WatchPlan::Confirm,
             plan if !self.eras.was_recently_restored(now) => plan,
             plan @ WatchPlan::IdleUntil(time) if now < time => plan,
             WatchPlan::Watch(_) => WatchPlan::Watch(Freshness::Newest),
@@ -158,14 +163,19 @@
     }
 
     /// Checks whether a reply of the store is current. Any other reply must not be applied.
-    pub fn classify_reply<Item, Event>(
+    pub fn classify_reply<Item: ListedObject, Event>(
         &mut self,
         now: Timestamp,
         context: CallContext,
         read: &Read,
         reply: &Reply<Item, Event>,
     ) -> AnswerValidity {
-        self.eras.classify(now, context, read, reply)
+        match self.eras.classify(now, context, read, reply) {
+            AnswerValidity::Current if !self.eras.reports_era() => {
+                self.check_continuity(now, context, read, &reply.answer)
+            }
+            validity => validity,
+        }
     }
 
     /// Returns the revision up to which all objects of a kind are known, from any source.
@@ -189,6 +199,7 @@
 
     /// Records the start of a store call for objects of a kind.
     pub fn record_store_call(&mut self, now: Timestamp, kind: ObjectKind, freshness: Freshness) {
+        self.continuity.record_call(now, kind);
         self.exchange.record_store_call(now, kind, freshness);
     }
 
@@ -285,6 +296,9 @@
         snapshot: Snapshot,
     ) -> Outcome {
         let before = self.replica.versions();
+        if !self.eras.reports_era() && self.replica.is_contradicted_by(&snapshot) {
+            self.continuity.record_contradicting_peer();
+        }
         self.record_versions(now, snapshot.versions);
         self.exchange.fetch_succeeded(from, snapshot.versions);
         let change = self.replica.merge(now, snapshot);
--- a/crates/bellyoke-core/src/cookie/directory/restoration.rs
+++ b/crates/bellyoke-core/src/cookie/directory/restoration.rs
@@ -5,9 +5,9 @@
 //! flows because of a record in the copy, and its slow start doesn't begin again.
 
 use super::address_reuse::earlier;
-use super::{Directory, KnownInstance};
+use super::{Directory, KnownInstance, is_of_earlier_run};
 use crate::cookie::instance::{InstanceRecord, InstanceState};
-use crate::cookie::revision::Revision;
+use crate::cookie::revision::{Revision, StoreEra};
 use crate::time::Timestamp;
 use std::time::Duration;
 
@@ -16,6 +16,45 @@
 const REAPPEARANCE_EXCLUSION: Duration = Duration::from_secs(5);
 
 impl Directory {
+    /// Returns whether a record of a list of the newest state as of `at` can't be part of the
+    /// history that is known up to [`Self::as_of`].
+    pub(crate) fn contradicts(&self, listed: &InstanceRecord, at: Revision) -> bool {
+        let Some(as_of) = self.as_of.filter(|as_of| as_of.era() == at.era()) else {
+            return false;
+        };
+        let is_covered = listed.revision <= as_of;
+        let Some(known) = self.known.get(&listed.id) else {
+            return is_covered;
+        };
+        if is_of_earlier_run(listed, &known.record) || is_of_earlier_run(&known.record, listed) {
+            return false;
+        }
+        if known.record.revision.era() < at.era() {
+            return false;
+        }
+        if known.removed_at.is_some() {
+            return is_covered && known.removed_revision <= at;
+        }
+        if known.record.revision == listed.revision {
+            // A drain from an earlier era is kept although the copy lacks it.
+            let keeps_drain =
+                at.era() > StoreEra(0) && known.record.state == InstanceState::Draining;
+            let state = if keeps_drain {
+                known.record.state
+            } else {
+                listed.state
+            };
+            let listed = InstanceRecord {
+                state,
+                ..listed.clone()
+            };
+            return !has_same_content(&known.record, &listed);
+        }
+        let is_changed_later = known.record.revision > at;
+        let known_is_newer = known.record.revision > listed.revision;
+        !is_changed_later && (is_covered || known_is_newer)
+    }
+
     /// Ends the exclusions whose time is over. Returns whether there were any.
     pub(super) fn end_exclusions(&mut self, now: Timestamp) -> bool {
         if self.first_exclusion_ends_at.is_none_or(|ends| now < ends) {
--- a/crates/bellyoke-core/src/cookie/era.rs
+++ b/crates/bellyoke-core/src/cookie/era.rs
@@ -2,8 +2,9 @@
 //!
 //! A store that was restored from an older copy has lost changes and assigns their revisions again.
 //! Most stores report their era with each answer. For a store that doesn't, the node infers a
-//! restoration from a list: if the list must show the newest state and has a lower revision number
-//! than was known when the call was made, the store was restored.
+//! restoration from a list that must show the newest state: the store was restored if the list has
+//! a lower revision number than was known when the call was made, or if its objects contradict the
+//! known ones ([`crate::cookie::continuity`]).
 
 use crate::cookie::follower::{Answer, Freshness, Read, Reply};
 use crate::cookie::revision::{Revision, StoreEra};
@@ -32,6 +33,9 @@
     Outdated,
     /// The answer shows that the store was restored. Its revisions don't carry the new era.
     Restored,
+    /// The store may have been restored since the last answer. The known state is to be checked
+    /// first.
+    Unverified,
 }
 
 impl AnswerValidity {
@@ -43,6 +47,7 @@
             Self::Current => answer,
             Self::Outdated => Answer::Failed,
             Self::Restored => Answer::HistoryGone,
+            Self::Unverified => Answer::Unverified,
         }
     }
 }
@@ -94,6 +99,12 @@
         }
     }
 
+    /// Returns whether the store reports its era, as far as this node has seen.
+    #[must_use]
+    pub const fn reports_era(&self) -> bool {
+        self.reports_era
+    }
+
     /// Records an era. The first era that a node learns of doesn't count as a restoration.
     pub fn record_era(&mut self, now: Timestamp, era: StoreEra) {
         if era > self.era {
--- a/crates/bellyoke-core/src/cookie/follower.rs
+++ b/crates/bellyoke-core/src/cookie/follower.rs
@@ -86,6 +86,8 @@
         /// The revision up to which the state was known before the list, or zero. A watch can't
         /// continue from it.
         known_up_to: Revision,
+        /// Whether the list checks the known state, and is required even if peers send newer state.
+        is_check: bool,
     },
     Watching {
         from: Revision,
@@ -101,6 +103,7 @@
             after: None,
             freshness,
             known_up_to,
+            is_check: false,
         }
     }
 }
@@ -147,6 +150,11 @@
     /// Records the store's era if it is newer than the known one, and restarts a list that began in
     /// an earlier era.
     pub fn enter_era(&mut self, era: StoreEra) {
+        if era > self.era
+            && let Phase::Listing { is_check, .. } = &mut self.phase
+        {
+            *is_check = false;
+        }
         self.era = era.max(self.era);
         if let Phase::Listing {
             oldest_at: Some(at),
@@ -194,12 +202,10 @@
     /// Records that the node has learned the state up to a revision from elsewhere. The next watch
     /// starts there, and an unfinished list that is redundant is abandoned.
     pub fn skip_to(&mut self, at: Revision) {
-        match &mut self.phase {
-            Phase::Watching { from } => *from = at.max(*from),
-            Phase::Listing { known_up_to, .. } if at > *known_up_to => {
-                self.phase = Phase::Watching { from: at };
-            }
-            Phase::Listing { .. } => {}
+        if let Phase::Watching { from } = &mut self.phase {
+            *from = at.max(*from);
+        } else if self.is_list_redundant(at) {
+            self.phase = Phase::Watching { from: at };
         }
     }
 
@@ -207,7 +213,10 @@
     /// learned the state up to `at` from elsewhere.
     #[must_use]
     pub fn is_list_redundant(&self, at: Revision) -> bool {
-        matches!(&self.phase, Phase::Listing { known_up_to, .. } if at > *known_up_to)
+        matches!(
+            &self.phase,
+            Phase::Listing { known_up_to, is_check: false, .. } if at > *known_up_to
+        )
     }
 
     /// Returns whether the last call was answered, or none was made yet.
@@ -261,6 +270,11 @@
                 self.restart_list(now, random);
                 None
             }
+            Answer::Unverified => {
+                self.failures = 0;
+                self.start_check();
+                None
+            }
             Answer::Throttled => {
                 if let Phase::Listing { known_up_to, .. } = self.phase {
                     self.phase = Phase::list(Freshness::MayBeStale, known_up_to);
@@ -269,12 +283,38 @@
                 None
             }
             Answer::Failed => {
+                self.abandon_check();
                 self.back_off(now, random);
                 None
             }
         }
     }
 
+    /// Starts a list that checks the known state.
+    fn start_check(&mut self) {
+        self.phase = Phase::Listing {
+            oldest_at: None,
+            items: Vec::new(),
+            after: None,
+            freshness: Freshness::Newest,
+            known_up_to: self.watched_from(),
+            is_check: true,
+        };
+    }
+
+    /// Returns to the watch after a check has failed: while the store is away, a watch is the
+    /// cheaper way to notice its return.
+    fn abandon_check(&mut self) {
+        if let Phase::Listing {
+            known_up_to,
+            is_check: true,
+            ..
+        } = self.phase
+        {
+            self.phase = Phase::Watching { from: known_up_to };
+        }
+    }
+
     /// Returns whether the current list has pages of another era.
     fn has_pages_of_another_era(&self, era: StoreEra) -> bool {
         matches!(&self.phase, Phase::Listing { oldest_at: Some(at), .. } if at.era() != era)
--- a/crates/bellyoke-core/src/cookie/follower/call.rs
+++ b/crates/bellyoke-core/src/cookie/follower/call.rs
@@ -86,6 +86,9 @@
     },
     /// The store has discarded its history after the watch's revision.
     HistoryGone,
+    /// The answer can't be used before a list of the newest state has shown that the known state
+    /// is part of the store's history.
+    Unverified,
     /// The store rejected the call because of its rate limit.
     Throttled,
     /// There is no usable answer. The call may be retried, since reads have no side effects.
--- a/crates/bellyoke-core/src/cookie/mod.rs
+++ b/crates/bellyoke-core/src/cookie/mod.rs
@@ -26,6 +26,7 @@
 pub mod answers;
 pub mod capacity;
 pub mod cold;
+pub mod continuity;
 pub mod coordinator;
 pub mod delta;
 pub mod directory;
--- a/crates/bellyoke-core/src/cookie/replica.rs
+++ b/crates/bellyoke-core/src/cookie/replica.rs
@@ -314,6 +314,16 @@
         self.directory.apply(now, at, events)
     }
 
+    /// Returns whether a peer's snapshot can't be part of the history that this state is from.
+    #[must_use]
+    pub fn is_contradicted_by(&self, snapshot: &Snapshot) -> bool {
+        let Some(DirectoryPart::Full(full)) = &snapshot.directory else {
+            return false;
+        };
+        let mut records = full.records.iter();
+        records.any(|record| self.directory.contradicts(record, full.as_of))
+    }
+
     /// Merges the newer parts of a peer's snapshot.
     pub fn merge(&mut self, now: Timestamp, snapshot: Snapshot) -> StateChange {
         let mut change = StateChange::default();
--- a/crates/bellyoke-core/src/cookie/zones.rs
+++ b/crates/bellyoke-core/src/cookie/zones.rs
@@ -156,6 +156,24 @@
         self.undrained.get(zone).copied()
     }
 
+    /// Returns whether a zone of a list of the newest state as of `at` can't be part of the history
+    /// that is known up to [`Self::as_of`].
+    pub(crate) fn contradicts(&self, listed: &DrainedZone, at: Revision) -> bool {
+        let Some(as_of) = self.as_of.filter(|as_of| as_of.era() == at.era()) else {
+            return false;
+        };
+        let is_covered = listed.revision <= as_of;
+        match self.drained.get(&listed.zone) {
+            Some(known) if known.era() < at.era() => false,
+            Some(known) if *known == listed.revision => false,
+            Some(known) => *known <= at && (is_covered || *known > listed.revision),
+            None => {
+                let undrain = self.undrained.get(&listed.zone);
+                is_covered && undrain.is_none_or(|undrain| undrain.revision <= at)
+            }
+        }
+    }
+
     /// Replaces the set with a full list as of revision `at`. Returns whether the list is newer
     /// than the known state; an older one changes nothing.
     pub fn replace(&mut self, now: Timestamp, at: Revision, listed: Vec<DrainedZone>) -> bool {
--- a/crates/bellyoke-lab/src/cookie/mod.rs
+++ b/crates/bellyoke-lab/src/cookie/mod.rs
@@ -12,6 +12,7 @@
 pub mod router;
 pub mod rules;
 pub mod scenario;
+pub mod seeds;
 pub mod simulation;
 pub mod store;
 pub mod target;
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -4,6 +4,7 @@
 use super::scenario::Ablation;
 use super::store::StoreAnswer;
 use bellyoke_core::cookie::capacity::NodePlace;
+use bellyoke_core::cookie::continuity::ListedObject;
 use bellyoke_core::cookie::coordinator::{Coordinator, Outcome};
 use bellyoke_core::cookie::era::CallContext;
 use bellyoke_core::cookie::exchange::{
@@ -182,6 +183,12 @@
         self.lifecycle.ready(known).is_ok()
     }
 
+    /// Returns the latest era of the store that the node knows.
+    #[must_use]
+    pub const fn era(&self) -> StoreEra {
+        self.coordinator.era()
+    }
+
     /// Starts a graceful stop.
     pub fn terminate(&mut self, now: Timestamp) {
         self.lifecycle.leave(now);
@@ -456,7 +463,7 @@
     }
 
     /// Returns the part of a reply that is valid in the current era.
-    fn usable_answer<Item, Event>(
+    fn usable_answer<Item: ListedObject, Event>(
         &mut self,
         now: Timestamp,
         call: &PendingCall,
--- a/crates/bellyoke-lab/src/cookie/simulation.rs
+++ b/crates/bellyoke-lab/src/cookie/simulation.rs
@@ -134,6 +134,8 @@
     pub peer_messages: u64,
     /// Number of resets of open flows that nodes sent.
     pub resets_by_nodes: u64,
+    /// The highest era of the store that any node knew.
+    pub highest_era: StoreEra,
 }
 
 /// State of a run.
@@ -158,6 +160,7 @@
     store_disturbed_at: Timestamp,
     store_calls: u64,
     peer_messages: u64,
+    highest_era: StoreEra,
 }
 
 /// Runs `scenario` with the random seed `seed`.
@@ -175,6 +178,7 @@
         store_calls: simulation.store_calls,
         peer_messages: simulation.peer_messages,
         resets_by_nodes: simulation.rules.resets_by_nodes,
+        highest_era: simulation.highest_era,
     }
 }
 
@@ -199,6 +203,7 @@
             store_disturbed_at: Timestamp::ZERO,
             store_calls: 0,
             peer_messages: 0,
+            highest_era: StoreEra(0),
             scenario,
         };
         simulation.store.reports_era = simulation.scenario.store_reports_era;
--- a/crates/bellyoke-lab/src/cookie/simulation/machines.rs
+++ b/crates/bellyoke-lab/src/cookie/simulation/machines.rs
@@ -135,6 +135,7 @@
                 self.stop_node(node, RESTART_DELAY);
                 continue;
             }
+            self.highest_era = self.highest_era.max(process.era());
             let effects = process.tick(self.now);
             let resets = process.take_flow_resets(self.now);
             self.apply_effects(node, effects);
--- a/crates/bellyoke-lab/src/cookie/store.rs
+++ b/crates/bellyoke-lab/src/cookie/store.rs
@@ -433,7 +433,7 @@
             change(at);
             events.iter_mut().for_each(change_event);
         }
-        Answer::HistoryGone | Answer::Throttled | Answer::Failed => {}
+        Answer::HistoryGone | Answer::Unverified | Answer::Throttled | Answer::Failed => {}
     }
     answer
 }
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -762,37 +762,60 @@
     );
 }
 
+/// Returns the calls to the store from the start of an outage until after its end, by the number of nodes.
+fn calls_around_outage(nodes: usize, mode: StoreMode, store_reports_era: bool) -> u64 {
+    let calls = |length: u64| {
+        // The setting of deployments with hundreds of nodes.
+        let exchange = ExchangeSettings {
+            freshness_bound: ms(3_000),
+            ..ExchangeSettings::default()
+        };
+        let scenario = Scenario {
+            nodes,
+            duration: ms(length),
+            exchange,
+            store_reports_era,
+            ..baseline()
+        };
+        let scenario = scenario
+            .at(12_000, Action::SetStoreMode(mode))
+            .at(22_000, Action::SetStoreMode(StoreMode::Up))
+            .at(22_500, Action::Configure { probe: Some(1) });
+        let report = simulate(scenario, 1);
+        assert_eq!(report.violations, []);
+        report.store_calls
+    };
+    calls(24_000) - calls(12_000)
+}
+
 /// Calls to an unavailable store must not grow with the number of nodes: when it recovers, all nodes would call it at
 /// once.
 #[test]
 fn calls_to_an_unavailable_store_do_not_grow_with_the_number_of_nodes() {
     for mode in [StoreMode::Busy, StoreMode::Silent] {
-        let calls = |nodes: usize, length: u64| {
-            // The setting of deployments with hundreds of nodes.
-            let exchange = ExchangeSettings {
-                freshness_bound: ms(3_000),
-                ..ExchangeSettings::default()
-            };
-            let scenario = Scenario {
-                nodes,
-                duration: ms(length),
-                exchange,
-                ..baseline()
-            };
-            let scenario = scenario
-                .at(12_000, Action::SetStoreMode(mode))
-                .at(22_000, Action::SetStoreMode(StoreMode::Up))
-                .at(22_500, Action::Configure { probe: Some(1) });
-            let report = simulate(scenario, 1);
-            assert_eq!(report.violations, []);
-            report.store_calls
-        };
-        let counts = [10, 40, 200].map(|nodes| calls(nodes, 24_000) - calls(nodes, 12_000));
+        let counts = [10, 40, 200].map(|nodes| calls_around_outage(nodes, mode, true));
         let [minimum, maximum] = [counts.iter().min(), counts.iter().max()].map(Option::unwrap);
         assert!(maximum * 2 < minimum * 3, "{mode:?}: {counts:?} calls");
     }
 }
 
+/// Guards against a cost of noticing restorations that grows with the cluster: a store that doesn't report its era gets
+/// at most half as many calls more than one that does.
+#[test]
+fn checks_for_a_restoration_cost_few_calls_at_any_number_of_nodes() {
+    for mode in [StoreMode::Busy, StoreMode::Silent] {
+        for nodes in [10, 100] {
+            let calls = |reports_era| calls_around_outage(nodes, mode, reports_era);
+            let (with_era, without) = (calls(true), calls(false));
+            println!("{mode:?}, {nodes} nodes: {with_era} calls with an era, {without} without");
+            assert!(
+                without * 2 <= with_era * 3,
+                "{mode:?}, {nodes} nodes: {with_era} calls with an era, {without} without"
+            );
+        }
+    }
+}
+
 /// The first nodes of several zones have more capacity and therefore get duties such as watching the store. Then the
 /// watchers are killed.
 #[test]
--- a/crates/bellyoke-node/src/connection/follow.rs
+++ b/crates/bellyoke-node/src/connection/follow.rs
@@ -4,6 +4,7 @@
 use super::store::StoreReader;
 use crate::process::control::Control;
 use crate::process::metrics::{ControlMetrics, StoreCallLabels};
+use bellyoke_core::cookie::continuity::ListedObject;
 use bellyoke_core::cookie::exchange::ExchangeEffect;
 use bellyoke_core::cookie::follower::{
     Answer, Follower, FollowerSettings, Freshness, NextAction, Read, Update,
@@ -20,7 +21,7 @@
 const CALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Follows one kind of object for the lifetime of the process and passes updates to `apply`.
-pub async fn follow<Reader: StoreReader>(
+pub async fn follow<Reader: StoreReader<Item: ListedObject>>(
     link: PeerLink,
     kind: ObjectKind,
     mut reader: Reader,
@@ -125,6 +126,7 @@
     let outcome = match answer {
         Answer::Page { .. } | Answer::Changes { .. } => "answered",
         Answer::HistoryGone => "history_gone",
+        Answer::Unverified => "unverified",
         Answer::Throttled => "throttled",
         Answer::Failed => "failed",
     };
--- a/crates/bellyoke-node/src/process/control/store.rs
+++ b/crates/bellyoke-node/src/process/control/store.rs
@@ -2,6 +2,7 @@
 
 use super::Control;
 use bellyoke_api::event_code::EventCode;
+use bellyoke_core::cookie::continuity::ListedObject;
 use bellyoke_core::cookie::era::{AnswerValidity, CallContext};
 use bellyoke_core::cookie::follower::{Freshness, Read, Reply, WatchPlan};
 use bellyoke_core::cookie::freshness::ObjectKind;
@@ -61,7 +62,7 @@
     }
 
     /// Classifies whether a reply of the store may be used.
-    pub fn classify_reply<Item, Event>(
+    pub fn classify_reply<Item: ListedObject, Event>(
         &mut self,
         kind: ObjectKind,
         context: CallContext,
