Take the seeds of the random rule tests from one place

BELLYOKE_SEEDS=START..END replaces the seeds of each random test, seeds run on all processors, and a failure names each failing seed with its first violation and time.

--- a/crates/bellyoke-lab/src/cookie/seeds.rs
+++ b/crates/bellyoke-lab/src/cookie/seeds.rs
@@ -76,3 +76,22 @@
     results.sort_unstable_by_key(|(seed, _)| *seed);
     results.into_iter().map(|(_, output)| output).collect()
 }
+
+/// Asserts that `check` succeeds for each seed.
+///
+/// # Panics
+///
+/// Panics with the failing seeds and their errors if there are any.
+pub fn assert_each(seeds: Range<u64>, check: impl Fn(u64) -> Result<(), String> + Sync) {
+    let played = seeds.end - seeds.start;
+    let results = run_each(seeds, |seed| {
+        check(seed).map_err(|error| format!("seed {seed}: {error}"))
+    });
+    let failures: Vec<String> = results.into_iter().filter_map(Result::err).collect();
+    let count = failures.len();
+    assert!(
+        count == 0,
+        "{count} of {played} seeds fail:\n{}",
+        failures.join("\n")
+    );
+}
--- a/crates/bellyoke-lab/src/cookie/simulation.rs
+++ b/crates/bellyoke-lab/src/cookie/simulation.rs
@@ -138,6 +138,25 @@
     pub highest_era: StoreEra,
 }
 
+impl Report {
+    /// Checks that no rule was violated.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first violation, its time since the start and the number of violations.
+    pub fn check_rules(&self) -> Result<(), String> {
+        let Some(first) = self.violations.first() else {
+            return Ok(());
+        };
+        let at = first.at.since(START_TIME);
+        let (rule, count) = (first.rule, self.violations.len());
+        Err(format!(
+            "{rule:?} violated {count} times, first at {at:?}: {}",
+            first.details
+        ))
+    }
+}
+
 /// State of a run.
 pub struct Simulation {
     scenario: Scenario,
--- a/crates/bellyoke-lab/tests/cookie_restored_store.rs
+++ b/crates/bellyoke-lab/tests/cookie_restored_store.rs
@@ -8,11 +8,13 @@
 
 use bellyoke_lab::cookie::rules::{Rule, Violation};
 use bellyoke_lab::cookie::scenario::{Ablation, Action, Scenario};
+use bellyoke_lab::cookie::seeds::{run_each, seeds};
 use bellyoke_lab::cookie::simulation::simulate;
 use bellyoke_lab::cookie::store::StoreMode;
 use std::time::Duration;
 
-const SEEDS: std::ops::Range<u64> = 0..5;
+/// The seeds that every test plays unless the environment sets others.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 0..5;
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -50,7 +52,10 @@
 
 /// Returns the violations with all seeds.
 fn violations(scenario: &Scenario) -> Vec<Violation> {
-    let reports = SEEDS.map(|seed| simulate(scenario.clone(), seed));
+    let reports = run_each(seeds(DEFAULT_SEEDS), |seed| {
+        simulate(scenario.clone(), seed)
+    });
+    let reports = reports.into_iter();
     reports.flat_map(|report| report.violations).collect()
 }
 
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -5,12 +5,15 @@
 use bellyoke_lab::cookie::router::RouterHash;
 use bellyoke_lab::cookie::rules::Rule;
 use bellyoke_lab::cookie::scenario::{Ablation, Action, Scenario};
+use bellyoke_lab::cookie::seeds::{assert_each, run_each, seeds};
 use bellyoke_lab::cookie::simulation::{Report, simulate};
 use bellyoke_lab::cookie::store::StoreMode;
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
-const SEEDS: std::ops::Range<u64> = 0..5;
+/// The seeds that every test plays unless the environment sets others.
+const DEFAULT_SEEDS: Range<u64> = 0..5;
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -30,21 +33,34 @@
     report.served as f64 / (report.served + report.failed) as f64
 }
 
+/// Runs a scenario with each seed.
+fn reports(scenario: &Scenario) -> Vec<Report> {
+    run_each(seeds(DEFAULT_SEEDS), |seed| {
+        simulate(scenario.clone(), seed)
+    })
+}
+
+/// Asserts that no rule is violated with any seed.
+fn assert_rules_hold(scenario: &Scenario) {
+    assert_each(seeds(DEFAULT_SEEDS), |seed| {
+        simulate(scenario.clone(), seed).check_rules()
+    });
+}
+
 /// Asserts that no rule is violated and that at least `minimum_served_share` of the requests are served.
 fn assert_no_violations(scenario: &Scenario, minimum_served_share: f64) {
-    for seed in SEEDS {
+    assert_each(seeds(DEFAULT_SEEDS), |seed| {
         let report = simulate(scenario.clone(), seed);
+        report.check_rules()?;
         let (served, failed) = (report.served, report.failed);
-        assert_eq!(report.violations, [], "seed {seed}");
-        assert!(
-            served > 1_000,
-            "seed {seed}: only {served} requests were served"
-        );
-        assert!(
-            served_share(&report) >= minimum_served_share,
-            "seed {seed}: {failed} requests failed, {served} were served"
-        );
-    }
+        if served <= 1_000 {
+            return Err(format!("only {served} requests were served"));
+        }
+        if served_share(&report) < minimum_served_share {
+            return Err(format!("{failed} requests failed, {served} were served"));
+        }
+        Ok(())
+    });
 }
 
 /// Counts the requests that took at least as long as a retransmission of their opening packet.
@@ -53,22 +69,19 @@
         let latencies = report.latencies.into_iter();
         latencies.filter(|latency| *latency >= ms(200)).count()
     };
-    SEEDS
-        .map(|seed| slow_in_report(simulate(scenario.clone(), seed)))
-        .sum()
+    reports(scenario).into_iter().map(slow_in_report).sum()
 }
 
 /// Counts the requests that failed.
 fn failed_requests(scenario: &Scenario) -> u64 {
-    SEEDS
-        .map(|seed| simulate(scenario.clone(), seed).failed)
-        .sum()
+    reports(scenario).iter().map(|report| report.failed).sum()
 }
 
 /// Asserts that the rule is violated with one of the seeds when the mechanism is disabled.
 fn assert_violated_without(scenario: &Scenario, mechanism: Ablation, rule: Rule) {
     let without = scenario.clone().without(mechanism);
-    let violated = SEEDS.map(|seed| violated_rules(&simulate(without.clone(), seed)));
+    let reports = reports(&without);
+    let violated = reports.iter().map(violated_rules);
     assert!(
         violated.clone().any(|rules| rules.contains(&rule)),
         "{rule:?} still holds with {mechanism:?}; violated rules: {:?}",
@@ -76,6 +89,24 @@
     );
 }
 
+/// Asserts that, with each seed, nodes reset open flows only in the first scenario, in which fewer requests fail than in
+/// the second one.
+fn assert_resets_help(with_resets: &Scenario, without_resets: &Scenario) {
+    assert_each(seeds(DEFAULT_SEEDS), |seed| {
+        let [with, without] =
+            [with_resets, without_resets].map(|scenario| simulate(scenario.clone(), seed));
+        let resets = (with.resets_by_nodes, without.resets_by_nodes);
+        if resets.0 == 0 || resets.1 != 0 {
+            return Err(format!("{resets:?} flows were reset"));
+        }
+        if with.failed >= without.failed {
+            let failed = (with.failed, without.failed);
+            return Err(format!("{failed:?} requests failed"));
+        }
+        Ok(())
+    });
+}
+
 /// Returns the default scenario, in which nothing fails or changes.
 fn baseline() -> Scenario {
     Scenario::default()
@@ -205,13 +236,7 @@
 #[test]
 fn packets_with_an_unknown_cookie_must_not_be_answered_with_a_reset() {
     let without_peers = unregistrations_and_node_restarts().without(Ablation::NoPeers);
-    for seed in SEEDS {
-        assert_eq!(
-            simulate(without_peers.clone(), seed).violations,
-            [],
-            "dropped packets violate no rule"
-        );
-    }
+    assert_rules_hold(&without_peers);
     assert_violated_without(&without_peers, Ablation::ResetUnknownCookies, Rule::Flow);
 }
 
@@ -398,13 +423,7 @@
         Ablation::NoInstanceCheck,
         Rule::Route,
     );
-    for seed in SEEDS {
-        assert_eq!(
-            simulate(address_reuse_of_all_targets(), seed).violations,
-            [],
-            "seed {seed}"
-        );
-    }
+    assert_rules_hold(&address_reuse_of_all_targets());
 }
 
 #[test]
@@ -438,16 +457,17 @@
 /// Guards against targets that are considered unreachable because the links of all nodes that probe them are saturated.
 #[test]
 fn no_open_flow_is_reset_while_links_are_saturated() {
-    for seed in SEEDS {
+    assert_each(seeds(DEFAULT_SEEDS), |seed| {
         let report = simulate(saturated_links(), seed);
-        assert_eq!(report.violations, [], "seed {seed}");
-        assert!(
-            report.served > 500,
-            "only {} requests were served",
-            report.served
-        );
-        assert!(served_share(&report) < 0.9, "the links are not saturated");
-    }
+        report.check_rules()?;
+        if report.served <= 500 {
+            return Err(format!("only {} requests were served", report.served));
+        }
+        if served_share(&report) >= 0.9 {
+            return Err("the links are not saturated".to_owned());
+        }
+        Ok(())
+    });
 }
 
 /// Open flows of a crashed target are reset once probes have confirmed that it is unreachable. Without probes they last
@@ -464,15 +484,7 @@
     }
     assert_no_violations(&scenario, 0.9);
     let without_probes = scenario.clone().without(Ablation::NoProbes);
-    for seed in SEEDS {
-        let (with, without) = (
-            simulate(scenario.clone(), seed),
-            simulate(without_probes.clone(), seed),
-        );
-        assert!(with.resets_by_nodes > 0, "seed {seed}");
-        assert_eq!(without.resets_by_nodes, 0, "seed {seed}");
-        assert!(with.failed < without.failed, "seed {seed}");
-    }
+    assert_resets_help(&scenario, &without_probes);
 }
 
 /// The targets accept no connections any more, so probes find them unreachable. They still serve their open flows, none
@@ -488,13 +500,7 @@
     let with_refusals = (0..8).fold(scenario, |scenario, target| {
         scenario.at(5_000, Action::RefuseConnections { target })
     });
-    for seed in SEEDS {
-        assert_eq!(
-            simulate(with_refusals.clone(), seed).violations,
-            [],
-            "seed {seed}"
-        );
-    }
+    assert_rules_hold(&with_refusals);
 }
 
 /// A client whose idle flow is reset opens another one before its next request, so fewer requests have to wait.
@@ -509,8 +515,8 @@
         scenario = scenario.at(at, Action::Crash { target });
     }
     let resets = |scenario: &Scenario| -> u64 {
-        let reports = SEEDS.map(|seed| simulate(scenario.clone(), seed));
-        reports.map(|report| report.resets_by_nodes).sum()
+        let reports = reports(scenario);
+        reports.iter().map(|report| report.resets_by_nodes).sum()
     };
     let without_idle_resets = scenario.clone().without(Ablation::NoIdleFlowResets);
     assert_no_violations(&scenario, 0.9);
@@ -532,13 +538,7 @@
     let with_refusals = (0..8).fold(scenario, |scenario, target| {
         scenario.at(5_000, Action::RefuseConnections { target })
     });
-    for seed in SEEDS {
-        assert_eq!(
-            simulate(with_refusals.clone(), seed).violations,
-            [],
-            "seed {seed}"
-        );
-    }
+    assert_rules_hold(&with_refusals);
     assert_violated_without(&with_refusals, Ablation::NoRefutations, Rule::Flow);
 }
 
@@ -560,15 +560,7 @@
     }
     let without_resets = scenario.clone().without(Ablation::NoResets);
     assert_no_violations(&scenario, 0.95);
-    for seed in SEEDS {
-        let (with, without) = (
-            simulate(scenario.clone(), seed),
-            simulate(without_resets.clone(), seed),
-        );
-        assert!(with.resets_by_nodes > 0, "seed {seed}");
-        assert_eq!(without.resets_by_nodes, 0, "seed {seed}");
-        assert!(with.failed < without.failed, "seed {seed}");
-    }
+    assert_resets_help(&scenario, &without_resets);
 }
 
 /// Reuses the addresses of crashed targets while all nodes restart. A starting node may see both instances of an address
--- a/crates/bellyoke-lab/tests/cookie_zones.rs
+++ b/crates/bellyoke-lab/tests/cookie_zones.rs
@@ -5,11 +5,13 @@
 
 use bellyoke_lab::cookie::rules::Rule;
 use bellyoke_lab::cookie::scenario::{Ablation, Action, Scenario};
+use bellyoke_lab::cookie::seeds::{assert_each, seeds};
 use bellyoke_lab::cookie::simulation::simulate;
 use bellyoke_lab::cookie::store::StoreMode;
 use std::time::Duration;
 
-const SEEDS: std::ops::Range<u64> = 0..5;
+/// The seeds that every test plays unless the environment sets others.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 0..5;
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -26,25 +28,28 @@
 
 /// Asserts that no rule is violated and that at least `minimum_served_share` of the requests are served.
 fn assert_no_violations(scenario: &Scenario, minimum_served_share: f64) {
-    for seed in SEEDS {
+    assert_each(seeds(DEFAULT_SEEDS), |seed| {
         let report = simulate(scenario.clone(), seed);
         let served_share = report.served as f64 / (report.served + report.failed) as f64;
-        assert_eq!(report.violations, [], "seed {seed}");
-        assert!(
-            served_share >= minimum_served_share,
-            "seed {seed}: served share is {served_share}"
-        );
-    }
+        report.check_rules()?;
+        if served_share < minimum_served_share {
+            return Err(format!("served share is {served_share}"));
+        }
+        Ok(())
+    });
 }
 
 /// Asserts that the zone drain rule is violated with every seed when nodes ignore zone drains.
 fn assert_violated_without_zone_drains(scenario: &Scenario) {
     let without_drains = scenario.clone().without(Ablation::IgnoreDrainedZones);
-    for seed in SEEDS {
+    assert_each(seeds(DEFAULT_SEEDS), |seed| {
         let violations = simulate(without_drains.clone(), seed).violations;
         let mut rules = violations.iter().map(|violation| violation.rule);
-        assert!(rules.any(|rule| rule == Rule::ZoneDrain), "seed {seed}");
-    }
+        let is_violated = rules.any(|rule| rule == Rule::ZoneDrain);
+        is_violated
+            .then_some(())
+            .ok_or_else(|| "the rule holds".to_owned())
+    });
 }
 
 #[test]
@@ -95,14 +100,16 @@
     }
     // Clients of the probe route can't distinguish this refusal from that of a missing route.
     scenario.probe_clients = 0;
-    for seed in SEEDS {
+    assert_each(seeds(DEFAULT_SEEDS), |seed| {
         let report = simulate(scenario.clone(), seed);
-        assert_eq!(report.violations, [], "seed {seed}");
-        assert!(report.failed > 0, "seed {seed}: no request was refused");
+        report.check_rules()?;
+        if report.failed == 0 {
+            return Err("no request was refused".to_owned());
+        }
         let highest_latency = report.latencies.last().unwrap();
-        assert!(
-            *highest_latency < ms(1_400),
-            "seed {seed}: a request took {highest_latency:?}"
-        );
-    }
+        if *highest_latency >= ms(1_400) {
+            return Err(format!("a request took {highest_latency:?}"));
+        }
+        Ok(())
+    });
 }
