Reset no live flow because refutations were lost

Cause: a finding was sent once to three peers and forwarded once, a refutation too, and silence was taken for agreement; a waiting flow was reset at once on one unanswered retransmission; a refutation carried no time.

Fix: no flow is ended before peers had 400 ms to refute; findings that may begin a verdict are sent in four rounds and refutations in three; a refutation carries the age of its evidence, counts only if that is as late as the doubt, is kept if it comes before the finding, and is forwarded by every node. Peer protocol version 9.

Tests of messages follow the new form of the refutation; nothing is checked less.

--- a/crates/bellyoke-core/src/cookie/coordinator/probing.rs
+++ b/crates/bellyoke-core/src/cookie/coordinator/probing.rs
@@ -6,9 +6,9 @@
 use crate::cookie::instance::{Cookie, InstanceState};
 use crate::cookie::placement::mix;
 use crate::cookie::reachability::{
-    CONFIRMATION_ATTEMPTS, CONFIRMATION_CONTROLS, Finding, PROBE_ATTEMPTS, PROBE_CONTROLS,
-    ProbeBatch, ProbeOutcome, RECHECK_ATTEMPTS, ReachabilityChange, ReachabilityMonitor,
-    RecordState, SuspicionSource,
+    CONFIRMATION_ATTEMPTS, CONFIRMATION_CONTROLS, Finding, LifeSign, PROBE_ATTEMPTS,
+    PROBE_CONTROLS, ProbeBatch, ProbeOutcome, RECHECK_ATTEMPTS, ReachabilityChange,
+    ReachabilityMonitor, RecordState, SuspicionSource,
 };
 use crate::cookie::replica::StateChange;
 use crate::time::Timestamp;
@@ -71,6 +71,7 @@
         outcomes: &[(Cookie, ProbeOutcome)],
     ) -> (Vec<ReachabilityChange>, Vec<ExchangeEffect>) {
         self.update_records(now);
+        let known_dead = self.reachability.unreachable(now);
         let mut changes = Vec::new();
         let mut findings = Vec::new();
         for (cookie, outcome) in outcomes {
@@ -86,6 +87,7 @@
             changes.extend(change);
         }
         self.update_records(now);
+        self.repeat_findings(now, &findings, &known_dead);
         let mut effects = self.exchange.report_findings(now, findings);
         effects.extend(self.request_confirmation(now));
         (changes, effects)
@@ -112,18 +114,33 @@
         self.reachability
             .set_single_zone(self.exchange.knows_only_own_zone());
         let directory = self.replica.directory();
+        let known_dead = self.reachability.unreachable(now);
         let reachability = &mut self.reachability;
         let findings = report.findings_at(now);
         let known = findings.filter(|finding| directory.find(finding.cookie).is_some());
         let new_findings: Vec<Finding> = known
             .filter(|finding| reachability.record_finding(now, finding))
             .collect();
+        self.repeat_findings(now, &new_findings, &known_dead);
         Outcome {
             change: StateChange::default(),
             effects: self.exchange.report_findings(now, new_findings),
         }
     }
 
+    /// Repeats the findings that may begin a verdict. Those that renew one reach enough nodes at
+    /// once.
+    fn repeat_findings(
+        &mut self,
+        now: Timestamp,
+        findings: &[Finding],
+        known_dead: &BTreeSet<Cookie>,
+    ) {
+        let first = findings.iter().copied();
+        let first = first.filter(|finding| !known_dead.contains(&finding.cookie));
+        self.exchange.repeat_findings(now, first);
+    }
+
     /// Returns the instances that openings avoid: those that this node cannot reach, or could not
     /// reach recently.
     #[must_use]
@@ -154,25 +171,30 @@
     pub fn report_alive(
         &mut self,
         now: Timestamp,
-        alive: &[Cookie],
+        signs: &[LifeSign],
     ) -> (Vec<Cookie>, Vec<ExchangeEffect>) {
-        let alive = alive.iter().copied();
-        let refuted: Vec<Cookie> = alive
-            .filter(|cookie| self.reachability.record_alive(now, *cookie))
+        let signs = signs.iter().copied();
+        let refuting: Vec<LifeSign> = signs
+            .filter(|sign| self.reachability.record_life_sign(now, *sign))
             .collect();
-        let effects = self.exchange.refute_suspicions(&refuted);
-        (refuted, effects)
+        let effects = self.exchange.refute_suspicions(now, &refuting);
+        let refuted = refuting.into_iter().map(|sign| sign.cookie);
+        (refuted.collect(), effects)
     }
 
     /// Handles a peer's refutation, which reports that some instances are alive, and forwards the
     /// part that is new to this node.
     pub(super) fn handle_refutation(&mut self, now: Timestamp, refutation: &Refutation) -> Outcome {
-        let alive = refutation.cookies.iter();
-        let alive: Vec<Cookie> = alive.filter_map(|bits| Cookie::from_bits(*bits)).collect();
-        let (_, effects) = self.report_alive(now, &alive);
+        let directory = self.replica.directory();
+        let signs = refutation.signs_at(now);
+        let known = signs.filter(|sign| directory.find(sign.cookie).is_some());
+        let reachability = &mut self.reachability;
+        let new_signs: Vec<LifeSign> = known
+            .filter(|sign| reachability.record_refutation(now, *sign))
+            .collect();
         Outcome {
             change: StateChange::default(),
-            effects,
+            effects: self.exchange.refute_suspicions(now, &new_signs),
         }
     }
 
--- a/crates/bellyoke-core/src/cookie/exchange/message.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/message.rs
@@ -12,11 +12,15 @@
 use super::watcher_claims::{WATCHERS, WatcherClaim};
 use crate::cookie::capacity::{NodePlace, ZoneKey};
 use crate::cookie::delta::StateDelta;
+use crate::cookie::instance::Cookie;
+use crate::cookie::reachability::LifeSign;
 use crate::cookie::replica::{Snapshot, Versions};
+use crate::time::Timestamp;
 use lz4_flex::block::{DecompressError, compress_prepend_size, decompress, uncompressed_size};
 use rkyv::util::AlignedVec;
 use rkyv::{Archive, Deserialize, Serialize};
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 /// Kind byte of a heartbeat.
 const HEARTBEAT_KIND: u8 = 1;
@@ -126,8 +130,17 @@
 /// traffic of their flows.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct Refutation {
-    /// Cookies of the instances.
-    pub cookies: Vec<u32>,
+    /// The instances.
+    pub instances: Vec<AliveInstance>,
+}
+
+/// An instance that was seen alive. The age replaces a time because clocks differ.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct AliveInstance {
+    /// The instance's cookie.
+    pub cookie: u32,
+    /// Time since it was seen alive, in milliseconds.
+    pub age_milliseconds: u16,
 }
 
 /// A request for the state that the sender lacks.
@@ -266,7 +279,32 @@
 
 impl Refutation {
     /// Maximum number of instances in one refutation.
-    pub const MAXIMUM_COOKIES: usize = 256;
+    pub const MAXIMUM_INSTANCES: usize = 128;
+
+    /// Creates a refutation of at most [`Self::MAXIMUM_INSTANCES`] suspicions.
+    #[must_use]
+    pub fn new(now: Timestamp, signs: &[LifeSign]) -> Self {
+        let instances = signs.iter().map(|sign| AliveInstance {
+            cookie: sign.cookie.bits(),
+            age_milliseconds: u16::try_from(now.since(sign.seen_at).as_millis())
+                .unwrap_or(u16::MAX),
+        });
+        Self {
+            instances: instances.collect(),
+        }
+    }
+
+    /// Returns the instances of a refutation that arrived at `now`, with the times at which they
+    /// were seen alive.
+    pub fn signs_at(&self, now: Timestamp) -> impl Iterator<Item = LifeSign> {
+        self.instances.iter().filter_map(move |instance| {
+            let age = Duration::from_millis(u64::from(instance.age_milliseconds));
+            Some(LifeSign {
+                cookie: Cookie::from_bits(instance.cookie)?,
+                seen_at: now.before(age),
+            })
+        })
+    }
 
     /// Encodes and seals the refutation.
     ///
--- a/crates/bellyoke-core/src/cookie/exchange/mod.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/mod.rs
@@ -23,6 +23,7 @@
 mod packed;
 mod peers;
 mod receivers;
+mod repeats;
 mod seal;
 mod settings;
 mod store_calls;
@@ -35,9 +36,9 @@
 pub use fetches::FETCH_STALL_TIMEOUT;
 pub use findings::{ReachabilityReport, ReportedFinding};
 pub use message::{
-    DeltaMessage, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_BYTES, MAXIMUM_FETCH_BYTES,
-    MAXIMUM_HEARTBEAT_BYTES, MAXIMUM_SNAPSHOT_BYTES, PeerDatagram, PeerSuggestion, ProbeRequest,
-    Refutation, ZoneSize, decode_snapshot, encode_snapshot,
+    AliveInstance, DeltaMessage, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_BYTES,
+    MAXIMUM_FETCH_BYTES, MAXIMUM_HEARTBEAT_BYTES, MAXIMUM_SNAPSHOT_BYTES, PeerDatagram,
+    PeerSuggestion, ProbeRequest, Refutation, ZoneSize, decode_snapshot, encode_snapshot,
 };
 pub(crate) use outliers::tallies_of;
 pub use outliers::{OutlierMessage, ReportedTally};
@@ -49,7 +50,7 @@
 use crate::cookie::capacity::{NodePlace, ZoneKey};
 use crate::cookie::freshness::FreshnessClock;
 use crate::cookie::instance::Cookie;
-use crate::cookie::reachability::Finding;
+use crate::cookie::reachability::{Finding, LifeSign};
 use crate::cookie::replica::Versions;
 use crate::time::Timestamp;
 use cluster_size::ClusterSize;
@@ -58,6 +59,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use receivers::PUSH_SUGGESTIONS;
+use repeats::{FINDING_REPETITIONS, REFUTATION_REPETITIONS, RepeatQueue};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use store_calls::StoreCallPacer;
@@ -107,6 +109,8 @@
     failing: Vec<Cookie>,
     /// Probe findings that are not yet reported, and the earliest time of the next report.
     pending_findings: Vec<Finding>,
+    repeated_findings: RepeatQueue<Finding>,
+    repeated_refutations: RepeatQueue<LifeSign>,
     next_findings_report: Timestamp,
     cluster_size: ClusterSize,
 }
@@ -146,6 +150,8 @@
             ignore_suggested_versions: false,
             failing: Vec::new(),
             pending_findings: Vec::new(),
+            repeated_findings: RepeatQueue::new(FINDING_REPETITIONS),
+            repeated_refutations: RepeatQueue::new(REFUTATION_REPETITIONS),
             next_findings_report: Timestamp::ZERO,
             cluster_size: ClusterSize::default(),
         };
@@ -243,6 +249,7 @@
             self.send_gossip(now, own, &mut effects);
         }
         self.fetch_if_behind(now, own, &behind, &mut effects);
+        effects.extend(self.repeat_messages(now));
         effects.extend(self.flush_findings(now));
         effects
     }
--- a/crates/bellyoke-core/src/cookie/exchange/seal.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/seal.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Version of the peer protocol of nodes that forward by cookie.
-const PROTOCOL_VERSION: u8 = 8;
+const PROTOCOL_VERSION: u8 = 9;
 
 const TAG_BYTES: usize = blake3::OUT_LEN;
 const HEADER_BYTES: usize = 2 + TAG_BYTES;
--- a/crates/bellyoke-core/src/cookie/exchange/suspicions.rs
+++ b/crates/bellyoke-core/src/cookie/exchange/suspicions.rs
@@ -3,7 +3,7 @@
 
 use super::{Exchange, ExchangeEffect, Heartbeat, ProbeRequest, ReachabilityReport, Refutation};
 use crate::cookie::instance::Cookie;
-use crate::cookie::reachability::{Finding, Origin};
+use crate::cookie::reachability::{Finding, LifeSign, Origin};
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -50,6 +50,23 @@
         self.flush_findings(now)
     }
 
+    /// Queues the repetitions of findings that are reported now.
+    pub fn repeat_findings(&mut self, now: Timestamp, findings: impl Iterator<Item = Finding>) {
+        for finding in findings {
+            self.repeated_findings
+                .retain(|earlier| earlier.cookie != finding.cookie);
+            self.repeated_findings.push(now, finding);
+        }
+    }
+
+    /// Sends findings and refutations again that may not have reached all nodes.
+    pub(super) fn repeat_messages(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
+        let findings = self.repeated_findings.take_due(now);
+        self.pending_findings.extend(findings);
+        let refuted = self.repeated_refutations.take_due(now);
+        self.send_refutations(now, &refuted)
+    }
+
     /// Reports the pending findings unless the last report was too recent.
     pub(super) fn flush_findings(&mut self, now: Timestamp) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
@@ -87,13 +104,23 @@
         }
     }
 
-    /// Reports to peers that suspected instances are alive.
-    pub fn refute_suspicions(&mut self, cookies: &[Cookie]) -> Vec<ExchangeEffect> {
+    /// Reports to peers that suspected instances were seen alive, by this node or another one.
+    /// Findings that say otherwise are not repeated any more.
+    pub fn refute_suspicions(&mut self, now: Timestamp, signs: &[LifeSign]) -> Vec<ExchangeEffect> {
+        for sign in signs {
+            self.repeated_findings
+                .retain(|finding| finding.cookie != sign.cookie);
+            self.repeated_refutations
+                .retain(|earlier| earlier.cookie != sign.cookie);
+            self.repeated_refutations.push(now, *sign);
+        }
+        self.send_refutations(now, signs)
+    }
+
+    fn send_refutations(&mut self, now: Timestamp, signs: &[LifeSign]) -> Vec<ExchangeEffect> {
         let mut effects = Vec::new();
-        for cookies in cookies.chunks(Refutation::MAXIMUM_COOKIES) {
-            let refutation = Refutation {
-                cookies: cookies.iter().map(|cookie| cookie.bits()).collect(),
-            };
+        for signs in signs.chunks(Refutation::MAXIMUM_INSTANCES) {
+            let refutation = Refutation::new(now, signs);
             let receivers = self.urgent_receivers();
             let sent = receivers.into_iter().map(|to| {
                 let refutation = refutation.clone();
--- a/crates/bellyoke-core/src/cookie/forwarder.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder.rs
@@ -352,8 +352,8 @@
         healthy
     }
 
-    /// Sets the instances that this node can't reach, and those that openings avoid. The latter
-    /// include the former.
+    /// Sets the instances that can't be reached, which no peer has refuted in time, and those that
+    /// openings avoid. The latter include the former.
     pub fn set_unreachable(&mut self, unreachable: &BTreeSet<Cookie>, avoided: &BTreeSet<Cookie>) {
         if self.unreachable != *unreachable {
             self.unreachable.clone_from(unreachable);
--- a/crates/bellyoke-core/src/cookie/forwarder/resets.rs
+++ b/crates/bellyoke-core/src/cookie/forwarder/resets.rs
@@ -4,6 +4,7 @@
 use crate::cookie::flow_resets::{FlowReset, ResetCause};
 use crate::cookie::instance::Cookie;
 use crate::cookie::placement::mix;
+use crate::cookie::reachability::LifeSign;
 use crate::cookie::table::ForwardingTable;
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
@@ -34,12 +35,17 @@
         }
     }
 
-    /// Returns the suspected instances that were active recently.
+    /// Returns the suspected instances that were active recently, and when.
     #[must_use]
-    pub fn alive_instances(&self, now: Timestamp, suspected: &BTreeSet<Cookie>) -> Vec<Cookie> {
-        let alive = suspected.iter().copied();
-        alive
-            .filter(|cookie| self.alive_within(now, *cookie, ALIVE_REPORT_WINDOW))
+    pub fn alive_instances(&self, now: Timestamp, suspected: &BTreeSet<Cookie>) -> Vec<LifeSign> {
+        let signs = suspected.iter().filter_map(|cookie| {
+            Some(LifeSign {
+                cookie: *cookie,
+                seen_at: self.alive_at.seen_at(instance_key(*cookie))?,
+            })
+        });
+        signs
+            .filter(|sign| now.since(sign.seen_at) < ALIVE_REPORT_WINDOW)
             .collect()
     }
 
--- a/crates/bellyoke-core/src/cookie/reachability.rs
+++ b/crates/bellyoke-core/src/cookie/reachability.rs
@@ -23,7 +23,7 @@
 mod monitor;
 mod probe;
 
-pub use finding::{Finding, Origin};
+pub use finding::{Finding, LifeSign, Origin};
 pub use monitor::{ReachabilityChange, ReachabilityMonitor, RecordState, SuspicionSource};
 pub use probe::{ProbeBatch, ProbeOutcome};
 
@@ -36,6 +36,13 @@
 /// Connection attempts of a probe that a peer asked for, because its own probe failed.
 pub const CONFIRMATION_ATTEMPTS: usize = 2;
 
+/// Time from the start of a probe to its end, at most. An instance that was seen alive after the
+/// start refutes the finding.
+const PROBE_DURATION: Duration = Duration::from_millis(250);
+
+/// Time without an answer after which an instance is suspected: the first retransmission.
+const SUSPICION_DELAY: Duration = Duration::from_millis(200);
+
 /// Connection attempts of a probe that checks whether an instance is still unreachable.
 pub const RECHECK_ATTEMPTS: usize = 1;
 
--- a/crates/bellyoke-core/src/cookie/reachability/finding.rs
+++ b/crates/bellyoke-core/src/cookie/reachability/finding.rs
@@ -35,6 +35,15 @@
     }
 }
 
+/// A time at which an instance was alive, as its flows showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LifeSign {
+    /// The instance.
+    pub cookie: Cookie,
+    /// When it was seen alive.
+    pub seen_at: Timestamp,
+}
+
 /// The result of a node's probe of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Finding {
--- a/crates/bellyoke-core/src/cookie/reachability/monitor.rs
+++ b/crates/bellyoke-core/src/cookie/reachability/monitor.rs
@@ -1,14 +1,18 @@
 //! The reachability state that one node keeps per instance.
 
-use super::finding::{Finding, Origin, PeerFindings, is_fresh};
+use super::finding::{Finding, LifeSign, Origin, PeerFindings, is_fresh};
 use super::{
     AVOIDANCE_DURATION, CONFIRMATION_TIMEOUT, MAXIMUM_CONFIRMATION_REQUESTS,
-    MAXIMUM_INCONCLUSIVE_PROBES, MAXIMUM_SUSPECTS_PER_PROBE, ProbeOutcome, RECHECK_INTERVAL,
-    REFUTATION_PERIOD, SUSPICION_INTERVAL,
+    MAXIMUM_INCONCLUSIVE_PROBES, MAXIMUM_SUSPECTS_PER_PROBE, PROBE_DURATION, ProbeOutcome,
+    RECHECK_INTERVAL, REFUTATION_PERIOD, SUSPICION_DELAY, SUSPICION_INTERVAL,
 };
 use crate::cookie::instance::Cookie;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// A refutation is forwarded again if its evidence is newer by at least this much.
+const REFUTATION_RENEWAL_INTERVAL: Duration = Duration::from_millis(150);
 
 /// The state of a suspected instance's record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,6 +70,10 @@
     inconclusive_probes: u32,
     /// When its flows last showed that it is alive.
     alive_at: Option<Timestamp>,
+    /// When it was last seen alive, by this node or a peer. Findings of earlier probes are ignored.
+    refuted_at: Option<Timestamp>,
+    /// Since when the current suspicion or verdict would explain what was observed.
+    doubted_since: Option<Timestamp>,
     /// When a probe of this node last reached it. Earlier findings of peers are ignored.
     reached_at: Option<Timestamp>,
     peers: PeerFindings,
@@ -125,7 +133,10 @@
         let alive_at = state.alive_at;
         let is_alive = alive_at.is_some_and(|at| now.since(at) < SUSPICION_INTERVAL);
         let reached = state.reached_at.is_some_and(|at| finding.found_at <= at);
-        if state.ended || state.address_reused || is_alive || reached {
+        let probe_started_at = finding.found_at.before(PROBE_DURATION);
+        let is_refuted = state.refuted_at.is_some_and(|at| probe_started_at <= at);
+        let is_outdated = reached || (is_refuted && !finding.reached);
+        if state.ended || state.address_reused || is_alive || is_outdated {
             return false;
         }
         if !finding.reached {
@@ -133,6 +144,7 @@
             let is_new = state.peers.record(now, finding, self.single_zone);
             if is_new && !was_under_verification {
                 state.refutations_requested_at = Some(now);
+                state.doubted_since = Some(probe_started_at);
             }
             return is_new;
         }
@@ -180,6 +192,9 @@
         if state.suspected || state.probe_running || recently_probed || is_decided {
             return false;
         }
+        if !state.is_under_verification(now) {
+            state.doubted_since = Some(now.before(SUSPICION_DELAY));
+        }
         state.suspected = true;
         state.requested_by_peer = source == SuspicionSource::PeerRequest;
         if state.requested_by_peer || !state.peers.has_any(now) {
@@ -275,6 +290,9 @@
             state.recheck_at = None;
         } else {
             state.unreachable_at = Some(now);
+            state
+                .doubted_since
+                .get_or_insert(now.before(PROBE_DURATION));
             state.confirmation_requests = 0;
             state.refutations_requested_at.get_or_insert(now);
             state.recheck_at = Some(now.after(RECHECK_INTERVAL));
@@ -312,21 +330,44 @@
     /// Records that the flows of an instance under verification show it to be alive, which clears
     /// the suspicion and the verdict. Returns whether there was any.
     pub fn record_alive(&mut self, now: Timestamp, cookie: Cookie) -> bool {
-        let Some(state) = self.states.get_mut(&cookie) else {
+        let seen_at = now;
+        self.record_life_sign(now, LifeSign { cookie, seen_at })
+    }
+
+    /// Records that an instance was alive at a time. Clears its suspicion and verdict, and returns
+    /// `true`, if it was alive after they arose. A sign from before proves nothing, since the
+    /// instance may have died in between.
+    pub fn record_life_sign(&mut self, now: Timestamp, sign: LifeSign) -> bool {
+        let Some(state) = self.states.get_mut(&sign.cookie) else {
             return false;
         };
-        if !state.is_under_verification(now) {
+        state.refuted_at = state.refuted_at.max(Some(sign.seen_at));
+        let is_after = state
+            .doubted_since
+            .is_none_or(|since| sign.seen_at >= since);
+        if !state.is_under_verification(now) || !is_after {
             return false;
         }
         *state = InstanceState {
             probe_running: state.probe_running,
-            alive_at: Some(now),
+            alive_at: Some(sign.seen_at),
+            refuted_at: state.refuted_at,
             probed_at: Some(now),
             ..InstanceState::default()
         };
         true
     }
 
+    /// Records that a peer has seen an instance alive. Returns whether this is new and is to be
+    /// forwarded. A refutation may arrive before the finding that it refutes; it counts against that
+    /// one, too.
+    pub fn record_refutation(&mut self, now: Timestamp, sign: LifeSign) -> bool {
+        let refuted_at = self.states.entry(sign.cookie).or_default().refuted_at;
+        let is_new =
+            refuted_at.is_none_or(|at| sign.seen_at >= at.after(REFUTATION_RENEWAL_INTERVAL));
+        self.record_life_sign(now, sign) || is_new
+    }
+
     /// Removes the state of an instance. The outcome of a running probe of it is ignored.
     pub fn forget(&mut self, cookie: Cookie) {
         if let Some(state) = self.states.get_mut(&cookie) {
--- a/crates/bellyoke-core/tests/cookie/exchange_zones.rs
+++ b/crates/bellyoke-core/tests/cookie/exchange_zones.rs
@@ -9,7 +9,7 @@
     Exchange, ExchangeEffect, ExchangeSettings, Heartbeat, StoreDuty, WATCHERS,
 };
 use bellyoke_core::cookie::instance::{Cookie, InstanceId};
-use bellyoke_core::cookie::reachability::Finding;
+use bellyoke_core::cookie::reachability::{Finding, LifeSign};
 use bellyoke_core::cookie::replica::Versions;
 use bellyoke_core::cookie::revision::Revision;
 use std::collections::BTreeSet;
@@ -375,7 +375,15 @@
             panic!("{requests:?}");
         };
         assert!(is_far(to), "seed {seed}");
-        let refutations = exchange.refute_suspicions(&[cookie]).into_iter();
+        let refutations = exchange
+            .refute_suspicions(
+                at(10_100),
+                &[LifeSign {
+                    cookie,
+                    seen_at: at(10_000),
+                }],
+            )
+            .into_iter();
         let sent = refutations.filter(
             |effect| matches!(effect, ExchangeEffect::SendRefutation { to, .. } if is_far(to)),
         );
--- a/crates/bellyoke-core/tests/cookie/message.rs
+++ b/crates/bellyoke-core/tests/cookie/message.rs
@@ -5,10 +5,10 @@
 use bellyoke_core::cookie::delta::{DirectoryDelta, RevisionGap, StateDelta};
 use bellyoke_core::cookie::directory::Tombstone;
 use bellyoke_core::cookie::exchange::{
-    DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat, MAXIMUM_DATAGRAM_BYTES,
-    MAXIMUM_HEARTBEAT_BYTES, PeerDatagram, PeerKey, PeerSuggestion, ProbeRequest,
-    ReachabilityReport, Refutation, ReportedFinding, WatcherClaim, ZoneSize, decode_snapshot,
-    encode_snapshot,
+    AliveInstance, DecodeError, DeltaMessage, EncodeError, FetchRequest, Heartbeat,
+    MAXIMUM_DATAGRAM_BYTES, MAXIMUM_HEARTBEAT_BYTES, PeerDatagram, PeerKey, PeerSuggestion,
+    ProbeRequest, ReachabilityReport, Refutation, ReportedFinding, WatcherClaim, ZoneSize,
+    decode_snapshot, encode_snapshot,
 };
 use bellyoke_core::cookie::instance::{InstanceEvent, InstanceId, InstanceRecord};
 use bellyoke_core::cookie::replica::{DirectoryPart, DirectorySnapshot, Snapshot, Versions};
@@ -110,7 +110,12 @@
 #[test]
 fn refutation_round_trip() {
     let refutation = Refutation {
-        cookies: (0..Refutation::MAXIMUM_COOKIES as u32).collect(),
+        instances: (0..Refutation::MAXIMUM_INSTANCES as u32)
+            .map(|cookie| AliveInstance {
+                cookie,
+                age_milliseconds: 300,
+            })
+            .collect(),
     };
     let key = PeerKey::new([7; 32]);
     let bytes = refutation.encode(&key).unwrap();
--- a/crates/bellyoke-lab/src/cookie/node.rs
+++ b/crates/bellyoke-lab/src/cookie/node.rs
@@ -302,10 +302,10 @@
         self.forwarder.review(now, &self.table);
         let failed = self.forwarder.take_suspects(now);
         self.coordinator.suspect(now, &failed);
-        let unreachable = self.coordinator.unreachable(now);
+        let ended = self.coordinator.ended(now);
         let avoided = self.coordinator.avoided(now);
-        self.forwarder.set_unreachable(&unreachable, &avoided);
-        self.forwarder.set_ended(&self.coordinator.ended(now));
+        self.forwarder.set_unreachable(&ended, &avoided);
+        self.forwarder.set_ended(&ended);
         let under_verification = self.coordinator.under_verification(now);
         let alive = self.forwarder.alive_instances(now, &under_verification);
         if !self.is_ablated(Ablation::NoPeers) && !self.is_ablated(Ablation::NoRefutations) {
--- a/crates/bellyoke-lab/tests/cookie_rules.rs
+++ b/crates/bellyoke-lab/tests/cookie_rules.rs
@@ -489,18 +489,37 @@
 
 /// The targets accept no connections any more, so probes find them unreachable. They still serve their open flows, none
 /// of which may be reset.
-#[test]
-fn no_open_flow_of_a_target_that_only_refuses_probes_is_reset() {
+fn refused_probes_and_loss() -> Scenario {
     let scenario = Scenario {
         short_clients: 90,
         long_clients: 60,
         loss: 0.05,
         ..baseline()
     };
-    let with_refusals = (0..8).fold(scenario, |scenario, target| {
+    (0..8).fold(scenario, |scenario, target| {
         scenario.at(5_000, Action::RefuseConnections { target })
-    });
-    assert_rules_hold(&with_refusals);
+    })
+}
+
+/// Guards against live flows that are reset before peers have refuted a finding.
+#[test]
+fn no_open_flow_of_a_target_that_only_refuses_probes_is_reset() {
+    assert_rules_hold(&refused_probes_and_loss());
+}
+
+/// Seeds with which findings or refutations reached too few nodes, so that live flows were reset.
+const SEEDS_WITH_LOST_REFUTATIONS: [u64; 17] = [
+    112, 202, 203, 211, 216, 221, 225, 239, 248, 252, 264, 279, 287, 1_014, 1_040, 1_058, 2_044,
+];
+
+#[test]
+fn no_flow_is_reset_on_seeds_that_lose_refutations() {
+    for seed in SEEDS_WITH_LOST_REFUTATIONS {
+        assert_each(seed..seed + 1, |seed| {
+            simulate(refused_probes_and_loss(), seed).check_rules()?;
+            simulate(refused_probes_and_loss_in_12_nodes(), seed).check_rules()
+        });
+    }
 }
 
 /// A client whose idle flow is reset opens another one before its next request, so fewer requests have to wait.
@@ -526,18 +545,18 @@
 
 /// Probes find targets unreachable that accept no connections any more, and a node whose flows are idle sees nothing
 /// that contradicts this. Peers with active flows of the targets have to refute it.
-#[test]
-fn no_idle_flow_of_a_target_that_only_refuses_probes_is_reset() {
-    let scenario = Scenario {
-        short_clients: 90,
-        long_clients: 60,
+fn refused_probes_and_loss_in_12_nodes() -> Scenario {
+    Scenario {
         loss: 0.08,
         nodes: 12,
-        ..baseline()
-    };
-    let with_refusals = (0..8).fold(scenario, |scenario, target| {
-        scenario.at(5_000, Action::RefuseConnections { target })
-    });
+        ..refused_probes_and_loss()
+    }
+}
+
+/// Guards against idle flows that are reset because refutations did not reach all nodes.
+#[test]
+fn no_idle_flow_of_a_target_that_only_refuses_probes_is_reset() {
+    let with_refusals = refused_probes_and_loss_in_12_nodes();
     assert_rules_hold(&with_refusals);
     assert_violated_without(&with_refusals, Ablation::NoRefutations, Rule::Flow);
 }
--- a/crates/bellyoke-node/src/packet/thread.rs
+++ b/crates/bellyoke-node/src/packet/thread.rs
@@ -330,10 +330,12 @@
             self.forwarder.set_ended(&none);
             return;
         }
-        let unreachable = self.shared.unreachable.load();
+        // Before peers had time to refute a finding it ends no flow, not even one that waits for an
+        // answer: its packets may have been lost.
+        let ended = self.shared.ended.load();
         let avoided = self.shared.avoided.load();
-        self.forwarder.set_unreachable(&unreachable, &avoided);
-        self.forwarder.set_ended(&self.shared.ended.load());
+        self.forwarder.set_unreachable(&ended, &avoided);
+        self.forwarder.set_ended(&ended);
         // If the queue of the control thread is full, the next failure reports the instance again.
         if !suspects.is_empty() {
             let _ = self.shared.suspects.try_send(suspects);
--- a/crates/bellyoke-node/src/process/shared.rs
+++ b/crates/bellyoke-node/src/process/shared.rs
@@ -4,6 +4,7 @@
 use arc_swap::ArcSwap;
 use bellyoke_core::cookie::instance::Cookie;
 use bellyoke_core::cookie::outliers::InstanceTally;
+use bellyoke_core::cookie::reachability::LifeSign;
 use bellyoke_core::cookie::stall::TickReport;
 use bellyoke_core::cookie::table::ForwardingTable;
 use bellyoke_core::time::Timestamp;
@@ -35,7 +36,7 @@
     /// Instances under verification, for the traffic thread.
     pub under_verification: ArcSwap<BTreeSet<Cookie>>,
     /// Instances under verification that the traffic thread recently saw alive.
-    pub alive: ArcSwap<Vec<Cookie>>,
+    pub alive: ArcSwap<Vec<LifeSign>>,
     /// Upper bound of the number of nodes, for the traffic thread.
     pub node_count_upper_bound: AtomicU64,
     /// Whether the traffic thread paces its packets because the link is saturated.
