--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -4,7 +4,8 @@
 use crate::nodes::SIGTERM;
 use crate::record::Record;
 use crate::world::{
-    has_trouble, sleep_until, target_id, unix_ms, Places, World, CONTACT, DRAIN, EVEN, RECOVERY,
+    has_trouble, sleep_until, target_id, unix_ms, wait_for, Places, World, CONTACT, DRAIN, EVEN,
+    RECOVERY,
 };
 use crate::Verdict;
 use std::sync::atomic::Ordering;
@@ -14,6 +15,7 @@
     match case {
         "foreign-entry" => foreign_entry(record, folder),
         "earlier-born" => earlier_born(record, folder),
+        "drain-after-loss" => drain_after_loss(record, folder),
         "cut-at-its-end" => cut_at_its_end(record, folder),
         _ => Verdict::Failed(format!("no case {case}")),
     }
@@ -291,3 +293,127 @@
     }
     Verdict::Held
 }
+
+/// DRAIN: a target says that it drains just after most nodes lost power, among them those that read the store for all.
+/// Two nodes are left, which nothing disturbs. Played some times.
+fn drain_after_loss(record: Record, folder: &str) -> Verdict {
+    const ROUNDS: usize = 6;
+    let places = Places {
+        nodes: &[0, 0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 1, 2, 2, 2, 2, 2, 2, 2, 2],
+        targets: &[0; ROUNDS + 2],
+    };
+    let count = places.nodes.len();
+    let mut world = World::start(record.clone(), folder, places, milliseconds(120));
+    let born = unix_ms();
+    world.start_target(0, born);
+    if !world.start_with_router_of_first_zone() {
+        return Verdict::Failed("the nodes didn't get ready".to_owned());
+    }
+    let habit = Habit {
+        service: world.service_address(),
+        requests_per_flow: 1,
+        pause: milliseconds(30),
+        deadline: seconds(2),
+    };
+    world.start_clients(0..10, &habit);
+    let mut late = 0;
+    let mut unanswered = 0;
+    let mut played = 0;
+    for round in 0..ROUNDS {
+        // The next target starts first.
+        world.start_target(round + 1, born);
+        std::thread::sleep(CONTACT + seconds(3));
+        let kept: Vec<usize> = (0..3)
+            .filter(|node| !world.nodes[*node].has_duty())
+            .collect();
+        if kept.len() != 2 {
+            record.line(&format!(
+                "round {round}: not played, as {kept:?} have no duty"
+            ));
+            continue;
+        }
+        played += 1;
+        let mut last = None;
+        wait_for(seconds(5), || {
+            let age = world.nodes[kept[0]].confirmation_age();
+            let is_new = std::mem::replace(&mut last, age) != age;
+            is_new && age.is_some_and(|age| age <= milliseconds(250))
+        });
+        let lost: Vec<usize> = (0..count).filter(|node| !kept.contains(node)).collect();
+        if has_trouble() {
+            record.line(&format!("round {round}: all nodes but {kept:?} lose power"));
+            for node in &lost {
+                world.nodes[*node].kill();
+            }
+        }
+        world.write_entry(round, "draining", born);
+        let acknowledged = Instant::now();
+        world.targets[round].draining.store(true, Ordering::SeqCst);
+        // It serves on for `drain_ms` and a little longer.
+        sleep_until(acknowledged + DRAIN + milliseconds(900));
+        record.line(&format!("target {:x} ends", target_id(round)));
+        world.targets[round].end();
+        world.remove_entry(round);
+        sleep_until(acknowledged + DRAIN + seconds(2));
+        for node in &lost {
+            if has_trouble() {
+                world.nodes[*node].start();
+            }
+        }
+        sleep_until(acknowledged + DRAIN + seconds(4));
+        let lost_addresses: Vec<_> = lost
+            .iter()
+            .map(|node| world.nodes[*node].settings.data)
+            .collect();
+        let attempts = world.attempts.lock().unwrap();
+        let ledger = world.ledger.lock().unwrap();
+        let id = target_id(round);
+        for opened in ledger
+            .opened
+            .iter()
+            .filter(|opened| opened.target == id && !lost_addresses.contains(&opened.node))
+        {
+            let request = attempts
+                .iter()
+                .find(|attempt| attempt.client == opened.client);
+            let Some(request) = request.filter(|request| request.opening_at > acknowledged + DRAIN)
+            else {
+                continue;
+            };
+            late += 1;
+            unanswered += usize::from(request.fate != Fate::Answered);
+            record.line(&format!(
+                "round {round}: client {} opened a flow {} ms after the acknowledgement, through node {}; its request: {:?}",
+                opened.client,
+                request.opening_at.saturating_duration_since(acknowledged).as_millis(),
+                opened.node,
+                request.fate
+            ));
+        }
+        if late > 0 {
+            break;
+        }
+    }
+    let answered = world
+        .attempts
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|attempt| attempt.fate == Fate::Answered)
+        .count();
+    world.stop_clients();
+    let lost_node = world.has_lost_node();
+    record.say(&format!("{played} rounds, {answered} requests answered"));
+    record.say(&format!(
+        "flows that clients opened more than {} ms after the acknowledgement, and that the target took through nodes in touch: {late}",
+        DRAIN.as_millis()
+    ));
+    record.say(&format!("of their requests, not answered: {unanswered}"));
+    if lost_node || answered < 300 || played == 0 {
+        return Verdict::Failed("too few requests or rounds, or a node ended".to_owned());
+    }
+    if late > 0 {
+        return Verdict::Broken;
+    }
+    Verdict::Held
+}
--- a/review/standin/nodes.rs
+++ b/review/standin/nodes.rs
@@ -70,7 +70,8 @@
         std::fs::write(&path, self.settings.text()).expect("write settings");
         let log = std::fs::File::options()
             .create(true)
-            .append(true)
+            .write(true)
+            .truncate(true)
             .open(format!("{}/{}.log", self.folder, self.settings.name));
         let log = log.expect("open a log");
         let mut command = Command::new(PROGRAM);
@@ -100,6 +101,31 @@
         }
     }
 
+    pub fn is_ready(&self) -> bool {
+        is_ready(self.settings.ready)
+    }
+
+    /// Returns whether the node does a duty for all, as its log tells.
+    pub fn has_duty(&self) -> bool {
+        let log = std::fs::read_to_string(format!("{}/{}.log", self.folder, self.settings.name));
+        let log = log.unwrap_or_default();
+        log.matches("\"DutyTaken\"").count() > log.matches("\"DutyLeft\"").count()
+    }
+
+    /// Returns for how long the node has had no confirmation that its state is the newest, as its metrics tell.
+    pub fn confirmation_age(&self) -> Option<Duration> {
+        let mut stream = TcpStream::connect(self.settings.metrics).ok()?;
+        stream
+            .write_all(b"GET /metrics HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")
+            .ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix("bellyoke_confirmation_age_milliseconds "))?;
+        line.trim().parse().ok().map(Duration::from_millis)
+    }
+
     /// Waits until the process has ended by itself.
     pub fn wait(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -3,7 +3,7 @@
 use crate::packet::{Packet, ACK, FIN, RST, SYN};
 use crate::record::Record;
 use std::collections::BTreeMap;
-use std::net::{SocketAddrV4, TcpListener, UdpSocket};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
     pub target: u64,
     pub client: SocketAddrV4,
     pub at: Instant,
+    /// The node that sent on the opening.
+    pub node: SocketAddrV4,
 }
 
 #[derive(Default)]
@@ -36,6 +38,8 @@
     next: u32,
     echo: u32,
     open: bool,
+    /// The node that sent on the opening.
+    node: SocketAddrV4,
     unacknowledged: Option<(Packet, Instant, Duration, u32)>,
 }
 
@@ -148,9 +152,9 @@
             .unwrap();
         let mut buffer = [0; 2048];
         while !self.ended.load(Ordering::SeqCst) {
-            if let Ok(length) = self.socket.recv(&mut buffer) {
+            if let Ok((length, SocketAddr::V4(node))) = self.socket.recv_from(&mut buffer) {
                 if !self.cut.load(Ordering::SeqCst) {
-                    self.take(&buffer[..length]);
+                    self.take(&buffer[..length], node);
                 }
             }
             self.finish_work();
@@ -158,7 +162,7 @@
         }
     }
 
-    fn take(&mut self, bytes: &[u8]) {
+    fn take(&mut self, bytes: &[u8], node: SocketAddrV4) {
         if bytes.len() < 8 {
             return;
         }
@@ -175,7 +179,7 @@
         };
         let key = (packet.src, packet.dst);
         if packet.has(SYN) {
-            self.open(key, &packet);
+            self.open(key, &packet, node);
             return;
         }
         let known = self
@@ -199,6 +203,7 @@
                 target: self.id,
                 client: packet.src,
                 at: Instant::now(),
+                node: flow.node,
             };
             self.record.line(&format!(
                 "target {:x}: flow {} is open",
@@ -238,7 +243,7 @@
         }
     }
 
-    fn open(&mut self, key: (SocketAddrV4, SocketAddrV4), packet: &Packet) {
+    fn open(&mut self, key: (SocketAddrV4, SocketAddrV4), packet: &Packet, node: SocketAddrV4) {
         if !self.flows.contains_key(&key) {
             self.next = self.next.wrapping_add(0x1_0001);
             let flow = Flow {
@@ -246,6 +251,7 @@
                 next: self.next.wrapping_add(1),
                 echo: packet.echo,
                 open: false,
+                node,
                 unacknowledged: None,
             };
             self.flows.insert(key, flow);
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -215,6 +215,19 @@
         wait_for(Duration::from_secs(20), || self.router.count_in() == count)
     }
 
+    /// Starts all nodes, of which the router knows those of the first zone. Returns whether all got ready.
+    pub fn start_with_router_of_first_zone(&mut self) -> bool {
+        for (node, zone) in self.nodes.iter_mut().zip(self.places.nodes) {
+            if *zone == 0 {
+                self.router.add(&node.settings);
+            }
+            node.start();
+        }
+        wait_for(Duration::from_secs(20), || {
+            self.nodes.iter().all(Node::is_ready)
+        })
+    }
+
     pub fn stop_clients(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
         for client in self.clients.drain(..) {
