--- a/review/standin-2/endpoints.rs
+++ b/review/standin-2/endpoints.rs
@@ -5,8 +5,8 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// What a target has done on a flow.
@@ -29,12 +29,19 @@
     /// When the store took that the target is draining or gone.
     pub drained_at: Arc<Mutex<Option<Instant>>>,
     pub runs: Arc<AtomicU64>,
-    /// Latest arrival of an opening after the drain whose request ran, in milliseconds.
+    /// Latest arrival, in milliseconds after the drain, of an opening whose request ran. Only
+    /// openings through nodes in touch count.
     pub latest_ms: Arc<AtomicU64>,
 }
 
 impl Target {
-    pub fn start(world: &Arc<World>, name: &str, id: u32, address: SocketAddrV4, work_ms: u64) -> std::io::Result<Self> {
+    pub fn start(
+        world: &Arc<World>,
+        name: &str,
+        id: u32,
+        address: SocketAddrV4,
+        work_ms: u64,
+    ) -> std::io::Result<Self> {
         let target = Self {
             id,
             name: name.into(),
@@ -90,7 +97,10 @@
                 continue;
             }
             let Some(packet) = Packet::decode(bytes) else {
-                world.violate(format!("UNASKED a packet reached target {} in a form that nobody wrote", self.name));
+                world.violate(format!(
+                    "UNASKED a packet reached target {} in a form that nobody wrote",
+                    self.name
+                ));
                 continue;
             };
             let node = world.node_at(*from.ip());
@@ -101,8 +111,17 @@
         }
     }
 
-    fn handle(&self, world: &World, flows: &mut HashMap<FlowKey, Served>, packet: &Packet, node: Option<usize>) -> Vec<Packet> {
-        let key = FlowKey { client: packet.source, service: packet.destination };
+    fn handle(
+        &self,
+        world: &World,
+        flows: &mut HashMap<FlowKey, Served>,
+        packet: &Packet,
+        node: Option<usize>,
+    ) -> Vec<Packet> {
+        let key = FlowKey {
+            client: packet.source,
+            service: packet.destination,
+        };
         let reply = |flags, sequence, acknowledged, data| Packet {
             source: packet.destination,
             destination: packet.source,
@@ -124,7 +143,12 @@
             if flow.client_sequence != packet.sequence.wrapping_add(1) {
                 *flow = fresh();
             }
-            return vec![reply(SYN | ACK, flow.own_sequence, flow.client_sequence, Vec::new())];
+            return vec![reply(
+                SYN | ACK,
+                flow.own_sequence,
+                flow.client_sequence,
+                Vec::new(),
+            )];
         }
         if packet.has(RST) {
             flows.remove(&key);
@@ -132,7 +156,12 @@
         }
         let Some(flow) = flows.get_mut(&key) else {
             if packet.has(FIN) && packet.data.is_empty() {
-                return vec![reply(ACK, packet.acknowledged, packet.sequence.wrapping_add(1), Vec::new())];
+                return vec![reply(
+                    ACK,
+                    packet.acknowledged,
+                    packet.sequence.wrapping_add(1),
+                    Vec::new(),
+                )];
             }
             return vec![reply(RST, packet.acknowledged, 0, Vec::new())];
         };
@@ -141,21 +170,36 @@
             if let Some((sequence, answer)) = &flow.last_answer
                 && *sequence == packet.sequence
             {
-                answers.push(Packet { echo: packet.echo, ..answer.clone() });
+                answers.push(Packet {
+                    echo: packet.echo,
+                    ..answer.clone()
+                });
             } else if packet.sequence == flow.client_sequence {
                 let request = request_id(&packet.data);
                 self.record_run(world, flow, request);
                 std::thread::sleep(self.work);
                 flow.client_sequence = flow.client_sequence.wrapping_add(packet.data.len() as u32);
-                let body = format!("HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nContent-Length: 2\r\n\r\nok");
-                let answer = reply(ACK, flow.own_sequence.wrapping_add(1), flow.client_sequence, body.into_bytes());
+                let body = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nContent-Length: 2\r\n\r\nok"
+                );
+                let answer = reply(
+                    ACK,
+                    flow.own_sequence.wrapping_add(1),
+                    flow.client_sequence,
+                    body.into_bytes(),
+                );
                 flow.own_sequence = flow.own_sequence.wrapping_add(answer.data.len() as u32);
                 flow.last_answer = Some((packet.sequence, answer.clone()));
                 answers.push(answer);
             }
         }
         if packet.has(FIN) {
-            let answer = reply(FIN | ACK, packet.acknowledged, packet.sequence.wrapping_add(1), Vec::new());
+            let answer = reply(
+                FIN | ACK,
+                packet.acknowledged,
+                packet.sequence.wrapping_add(1),
+                Vec::new(),
+            );
             flows.remove(&key);
             answers.push(answer);
         }
@@ -165,7 +209,10 @@
     /// Checks DRAIN as it is written: by the arrival of the flow's opening packet, for nodes in touch.
     fn record_run(&self, world: &World, flow: &Served, request: u64) {
         self.runs.fetch_add(1, Ordering::Relaxed);
-        world.note(&format!("target {} runs request {request} (opened through node {:?})", self.name, flow.node));
+        world.note(&format!(
+            "target {} runs request {request} (opened through node {:?})",
+            self.name, flow.node
+        ));
         if flow.last_answer.is_some() {
             return;
         }
@@ -176,8 +223,10 @@
             return;
         };
         let after = after.as_millis() as u64;
-        self.latest_ms.fetch_max(after, Ordering::Relaxed);
         let in_touch = flow.node.is_some_and(|node| world.is_in_touch(node));
+        if in_touch {
+            self.latest_ms.fetch_max(after, Ordering::Relaxed);
+        }
         if after > world.bounds.drain && in_touch {
             world.violate(format!(
                 "DRAIN request {request} reached target {} through node {:?} {after} ms after the store took that it \
@@ -190,7 +239,10 @@
 
 fn request_id(data: &[u8]) -> u64 {
     let text = String::from_utf8_lossy(data);
-    let id = text.split("Request-Id: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+    let id = text
+        .split("Request-Id: ")
+        .nth(1)
+        .and_then(|rest| rest.split("\r\n").next());
     id.and_then(|id| id.parse().ok()).unwrap_or_default()
 }
 
@@ -217,7 +269,12 @@
 }
 
 /// Starts a client that opens one flow after the other.
-pub fn start_client(world: &Arc<World>, number: usize, habit: Habit, watched: &'static AtomicU16) -> std::io::Result<()> {
+pub fn start_client(
+    world: &Arc<World>,
+    number: usize,
+    habit: Habit,
+    watched: &'static AtomicU16,
+) -> std::io::Result<()> {
     let ip = world.client_ip(number);
     let socket = UdpSocket::bind((ip, DATA_PORT))?;
     let world = Arc::clone(world);
@@ -225,7 +282,10 @@
         let mut port = 20_000 + (random() % 20_000) as u16;
         while !world.is_stopping() {
             port = if port >= 60_000 { 20_000 } else { port + 1 };
-            let flow = FlowKey { client: (ip, port), service: (habit.service, crate::world::SERVICE_PORT) };
+            let flow = FlowKey {
+                client: (ip, port),
+                service: (habit.service, crate::world::SERVICE_PORT),
+            };
             let end = run_flow(&world, &socket, flow, habit, watched);
             if end != End::Done {
                 world.note(&format!("client {number}: flow {port} ended: {end:?}"));
@@ -246,7 +306,9 @@
 fn receive(socket: &UdpSocket, flow: &FlowKey, until: Instant) -> Option<(Packet, Ipv4Addr)> {
     let mut buffer = [0; 2_048];
     loop {
-        let left = until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())?;
+        let left = until
+            .checked_duration_since(Instant::now())
+            .filter(|left| !left.is_zero())?;
         socket.set_read_timeout(Some(left)).ok()?;
         let Ok((length, SocketAddr::V4(from))) = socket.recv_from(&mut buffer) else {
             continue;
@@ -260,7 +322,13 @@
     }
 }
 
-fn run_flow(world: &World, socket: &UdpSocket, flow: FlowKey, habit: Habit, watched: &AtomicU16) -> End {
+fn run_flow(
+    world: &World,
+    socket: &UdpSocket,
+    flow: FlowKey,
+    habit: Habit,
+    watched: &AtomicU16,
+) -> End {
     let opened_at = Instant::now();
     let first = random();
     let packet = |flags, sequence, acknowledged, echo, data| Packet {
@@ -275,7 +343,12 @@
     // A SYN, with copies after 200 and 600 ms; the attempt ends after 1.4 s.
     let mut opened = None;
     for (copy, until) in [(0, 200), (1, 600), (2, 1_400)] {
-        send(world, socket, &flow, &packet(SYN, first, copy, 0, Vec::new()));
+        send(
+            world,
+            socket,
+            &flow,
+            &packet(SYN, first, copy, 0, Vec::new()),
+        );
         let until = opened_at + Duration::from_millis(until);
         match receive(socket, &flow, until) {
             Some((answer, from)) if answer.has(SYN) && answer.has(ACK) => {
@@ -307,17 +380,31 @@
             break;
         }
         let request = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
-        let data = format!("POST /card-tap HTTP/1.1\r\nRequest-Id: {request}\r\nContent-Length: 0\r\n\r\n").into_bytes();
+        let data = format!(
+            "POST /card-tap HTTP/1.1\r\nRequest-Id: {request}\r\nContent-Length: 0\r\n\r\n"
+        )
+        .into_bytes();
         let length = data.len() as u32;
         let sent_at = Instant::now();
-        world.note(&format!("client {}: sends request {request} to target {target}", flow.client.0));
+        world.note(&format!(
+            "client {}: sends request {request} to target {target}",
+            flow.client.0
+        ));
         let mut wait = Duration::from_millis(200);
         let answer = loop {
             if sent_at.elapsed() >= Duration::from_millis(2_000) {
-                world.note(&format!("client {}: no answer to request {request}", flow.client.0));
+                world.note(&format!(
+                    "client {}: no answer to request {request}",
+                    flow.client.0
+                ));
                 return End::NoAnswer;
             }
-            send(world, socket, &flow, &packet(ACK, sequence, acknowledged, echo, data.clone()));
+            send(
+                world,
+                socket,
+                &flow,
+                &packet(ACK, sequence, acknowledged, echo, data.clone()),
+            );
             let until = Instant::now() + wait;
             wait = (wait * 2).min(Duration::from_millis(1_600));
             let mut answered = None;
@@ -335,15 +422,25 @@
             }
         };
         if request_id(&answer.data) != request {
-            world.violate(format!("MIXED request {request} got the answer to another one"));
+            world.violate(format!(
+                "MIXED request {request} got the answer to another one"
+            ));
         }
         world.served.fetch_add(1, Ordering::Relaxed);
-        world.note(&format!("client {}: answer to request {request}", flow.client.0));
+        world.note(&format!(
+            "client {}: answer to request {request}",
+            flow.client.0
+        ));
         sequence = sequence.wrapping_add(length);
         acknowledged = acknowledged.wrapping_add(answer.data.len() as u32);
         echo = answer.echo;
     }
-    send(world, socket, &flow, &packet(FIN | ACK, sequence, acknowledged, echo, Vec::new()));
+    send(
+        world,
+        socket,
+        &flow,
+        &packet(FIN | ACK, sequence, acknowledged, echo, Vec::new()),
+    );
     let until = Instant::now() + Duration::from_millis(50);
     while let Some((answer, _)) = receive(socket, &flow, until) {
         if answer.has(FIN) {
@@ -354,12 +451,24 @@
 }
 
 /// Checks FLOW (a): a reset that the flow's target didn't send, on an open flow.
-fn reset(world: &World, flow: &FlowKey, from: Ipv4Addr, target: Ipv4Addr, request: Option<u64>, is_watched: bool) -> End {
+fn reset(
+    world: &World,
+    flow: &FlowKey,
+    from: Ipv4Addr,
+    target: Ipv4Addr,
+    request: Option<u64>,
+    is_watched: bool,
+) -> End {
     let Some(node) = world.node_at(from) else {
         return End::ResetByTarget;
     };
-    let what = request.map_or("at rest".to_owned(), |request| format!("waiting for the answer to request {request}"));
-    world.note(&format!("client {}: reset from node {node}, {what}", flow.client.0));
+    let what = request.map_or("at rest".to_owned(), |request| {
+        format!("waiting for the answer to request {request}")
+    });
+    world.note(&format!(
+        "client {}: reset from node {node}, {what}",
+        flow.client.0
+    ));
     if is_watched && world.is_in_touch(node) {
         world.violate(format!(
             "FLOW a reset by node {node} reached client {} on its open flow at target {target}, which is alive; it was {what}",
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -18,10 +18,18 @@
 use world::{Bounds, SERVICE_PORT, World, ZONES, random, unix_ms};
 
 /// Bounds of `fleet/stallnet-fleet.toml`.
-const STALLNET_FLEET: Bounds = Bounds { drain: 8_000, config: 8_000, contact: 8_000 };
+const STALLNET_FLEET: Bounds = Bounds {
+    drain: 8_000,
+    config: 8_000,
+    contact: 8_000,
+};
 
-/// How far stale reads are behind.
-const STALE_LAG: Duration = Duration::from_millis(500);
+/// Bounds of `sites/stallnet.toml`.
+const STALLNET: Bounds = Bounds {
+    drain: 3_000,
+    config: 3_000,
+    contact: 4_000,
+};
 
 /// Targets of the service; one of them is struck.
 const TARGETS: usize = 8;
@@ -55,14 +63,28 @@
         std::process::exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
-    let world = World::new(STALLNET_FLEET, Path::new(program), Path::new(folder), Path::new(record));
+    let (bounds, stale_lag) = match &scenario[..] {
+        "last-target" => (STALLNET, Duration::from_millis(3_000)),
+        _ => (STALLNET_FLEET, Duration::from_millis(500)),
+    };
+    let world = World::new(
+        bounds,
+        Path::new(program),
+        Path::new(folder),
+        Path::new(record),
+    );
     let Some(world) = world else {
         eprintln!("no free loopback addresses, or no record");
         std::process::exit(2);
     };
-    let case = Case { store: Store::new(STALE_LAG), world, trouble };
+    let case = Case {
+        store: Store::new(stale_lag),
+        world,
+        trouble,
+    };
     let run = match &scenario[..] {
         "born" => case.born(),
+        "last-target" => case.last_target(),
         "other-writer" => case.other_writer(),
         other => Err(format!("unknown scenario {other}")),
     };
@@ -86,11 +108,18 @@
             0
         }
         Ok(()) => {
-            println!("broken {} times; {served} requests served; first: {}", broken.len(), broken[0]);
+            println!(
+                "broken {} times; {served} requests served; first: {}",
+                broken.len(),
+                broken[0]
+            );
             1
         }
     };
-    world.note(&format!("end: exit {code}, {} broken, {served} served", broken.len()));
+    world.note(&format!(
+        "end: exit {code}, {} broken, {served} served",
+        broken.len()
+    ));
     world.kill_all();
     std::process::exit(code);
 }
@@ -103,7 +132,9 @@
             )
         };
         let service = |name: &str| {
-            format!(r#"{{"name":"{name}","health_path":"/health","max_conns":2000,"protocol":"h1","tls":false}}"#)
+            format!(
+                r#"{{"name":"{name}","health_path":"/health","max_conns":2000,"protocol":"h1","tls":false}}"#
+            )
         };
         let spec = format!(
             r#"{{"version":7,"routes":[{},{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
@@ -121,10 +152,14 @@
         let world = &self.world;
         for node in 0..nodes {
             let address = world.store_address(node);
-            self.store.serve(address.into()).map_err(|error| format!("store: {error}"))?;
+            self.store
+                .serve(address.into(), node)
+                .map_err(|error| format!("store: {error}"))?;
         }
         self.configure();
-        world.start_nodes(nodes).map_err(|error| format!("node: {error}"))?;
+        world
+            .start_nodes(nodes)
+            .map_err(|error| format!("node: {error}"))?;
         if !world.wait(Duration::from_secs(15), || world.all_in()) {
             return Err("the nodes are not ready".into());
         }
@@ -146,19 +181,25 @@
 
     /// Writes a target's entry and returns when the store has taken it.
     fn enter(&self, target: &Target, entry: &Entry<'_>) -> Instant {
-        let born = entry.born.map_or(String::new(), |born| format!(r#","born":{born}"#));
+        let born = entry
+            .born
+            .map_or(String::new(), |born| format!(r#","born":{born}"#));
         let spec = format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":2,"state":"{}","cold_remaining_ms":0,"seq":1{born}}}"#,
             entry.service, target.address, ZONES[entry.zone], entry.state
         );
-        let at = self.store.put("servers", &format!("i-{:08x}", target.id), &spec);
-        self.world.note(&format!("target {} writes its entry: {spec}", target.name));
+        let at = self
+            .store
+            .put("servers", &format!("i-{:08x}", target.id), &spec);
+        self.world
+            .note(&format!("target {} writes its entry: {spec}", target.name));
         at
     }
 
     fn clients(&self, from: usize, count: usize, habit: Habit) -> Run {
         for number in from..from + count {
-            start_client(&self.world, number, habit, &WATCHED).map_err(|error| format!("client: {error}"))?;
+            start_client(&self.world, number, habit, &WATCHED)
+                .map_err(|error| format!("client: {error}"))?;
         }
         Ok(())
     }
@@ -177,7 +218,15 @@
         for number in 0..TARGETS - 1 {
             let target = self.target(number, &format!("till-{number}"), random() | 1, 5)?;
             let born = Some(unix_ms());
-            self.enter(&target, &Entry { service: "stall-till", zone: number % 2, state: "ready", born });
+            self.enter(
+                &target,
+                &Entry {
+                    service: "stall-till",
+                    zone: number % 2,
+                    state: "ready",
+                    born,
+                },
+            );
             others.push(target);
         }
         Ok(others)
@@ -189,15 +238,30 @@
         let world = &self.world;
         let _others = self.start_others()?;
         self.start(5)?;
-        self.clients(0, 8, Habit { service: TILL, requests: 1, pause: Duration::from_millis(40) })?;
+        self.clients(
+            0,
+            8,
+            Habit {
+                service: TILL,
+                requests: 1,
+                pause: Duration::from_millis(40),
+            },
+        )?;
         self.sleep(self.contact() + 1.0);
 
         // The clock of the machine is 2,000 ms ahead for 5 s. The target starts 4 s after it jumped.
         let ahead = if self.trouble { 2_000 } else { 0 };
         let number = TARGETS - 1;
         let id = random() | 1;
-        let entry = |state, born| Entry { service: "stall-till", zone: 2, state, born };
-        world.note(&format!("trouble: the clock of the machine of till-x is {ahead} ms ahead"));
+        let entry = |state, born| Entry {
+            service: "stall-till",
+            zone: 2,
+            state,
+            born,
+        };
+        world.note(&format!(
+            "trouble: the clock of the machine of till-x is {ahead} ms ahead"
+        ));
         self.sleep(4.0);
         let first = self.target(number, "till-x", id, 5)?;
         self.enter(&first, &entry("ready", Some(unix_ms() + ahead)));
@@ -220,7 +284,9 @@
         world.note("target till-x: the store took that it is draining");
         self.sleep(world.bounds.drain as f64 / 1_000.0 + 5.0);
         let latest = second.latest_ms.load(Ordering::Relaxed);
-        println!("till-x: {runs} requests before the drain; its last opening that ran came {latest} ms after the drain");
+        println!(
+            "till-x: {runs} requests before the drain; its last opening that ran came {latest} ms after the drain"
+        );
         self.store.delete("servers", &format!("i-{id:08x}"));
         second.end();
         Ok(())
@@ -232,18 +298,38 @@
         let world = &self.world;
         let _others = self.start_others()?;
         let leaving = self.target(TARGETS - 1, "till-x", random() | 1, 5)?;
-        self.enter(&leaving, &Entry { service: "stall-till", zone: 2, state: "ready", born: Some(unix_ms()) });
+        self.enter(
+            &leaving,
+            &Entry {
+                service: "stall-till",
+                zone: 2,
+                state: "ready",
+                born: Some(unix_ms()),
+            },
+        );
         self.start(5)?;
-        self.clients(0, 40, Habit { service: TILL, requests: 100, pause: Duration::from_millis(250) })?;
+        self.clients(
+            0,
+            40,
+            Habit {
+                service: TILL,
+                requests: 100,
+                pause: Duration::from_millis(250),
+            },
+        )?;
         self.sleep(self.contact() + 1.0);
 
-        WATCHED.store(u16::from(leaving.address.ip().octets()[3]), Ordering::Relaxed);
+        WATCHED.store(
+            u16::from(leaving.address.ip().octets()[3]),
+            Ordering::Relaxed,
+        );
         if self.trouble {
             let spec = format!(
                 r#"{{"service":"stall-till-old","address":"{}","zone":"{}","version":"v0","slots":2,"state":"ready","cold_remaining_ms":0,"seq":1}}"#,
                 leaving.address, ZONES[2]
             );
-            self.store.put("servers", &format!("i-{:08x}", random() | 1), &spec);
+            self.store
+                .put("servers", &format!("i-{:08x}", random() | 1), &spec);
             world.note(&format!("trouble: another writer makes an entry: {spec}"));
         }
         self.sleep(2.0);
@@ -251,7 +337,8 @@
         if runs == 0 {
             return Err("the target got no request before its entry went".into());
         }
-        self.store.delete("servers", &format!("i-{:08x}", leaving.id));
+        self.store
+            .delete("servers", &format!("i-{:08x}", leaving.id));
         world.note("target till-x: its entry goes; it serves on");
         // It serves on for `drain_ms` and a little longer.
         self.sleep(world.bounds.drain as f64 / 1_000.0 + 2.0);
@@ -260,4 +347,78 @@
         println!("till-x: {runs} requests before its entry went, {after} after");
         Ok(())
     }
+
+    /// Again and again, the only target of a service is taken away without saying `draining`, just as the node that reads
+    /// the store for the others is killed. The platform starts that node again after a short delay.
+    fn last_target(&self) -> Run {
+        const NODES: usize = 6;
+        const RESTART_DELAY_S: f64 = 0.8;
+        let world = &self.world;
+        let _others = self.start_others()?;
+        self.start(NODES)?;
+        self.clients(
+            0,
+            4,
+            Habit {
+                service: TILL,
+                requests: 20,
+                pause: Duration::from_millis(100),
+            },
+        )?;
+        self.clients(
+            4,
+            16,
+            Habit {
+                service: LISTINGS,
+                requests: 1,
+                pause: Duration::from_millis(20),
+            },
+        )?;
+        let until = Instant::now() + Duration::from_secs(80);
+        let mut number = TARGETS;
+        let mut latest = Vec::new();
+        while Instant::now() < until {
+            let only = self.target(number, &format!("listings-{number}"), random() | 1, 0)?;
+            number += 1;
+            self.enter(
+                &only,
+                &Entry {
+                    service: "listings",
+                    zone: 0,
+                    state: "ready",
+                    born: None,
+                },
+            );
+            self.sleep(self.contact() + 2.0 + f64::from(random() % 800) / 1_000.0);
+            let reader = *self
+                .store
+                .watchers()
+                .first()
+                .ok_or("no node watches the store")?;
+            if self.trouble {
+                world.kill(reader);
+            }
+            let at = self.store.delete("servers", &format!("i-{:08x}", only.id));
+            *only.drained_at.lock().unwrap() = Some(at);
+            world.note(&format!(
+                "target {}: its entry goes; it serves on",
+                only.name
+            ));
+            self.sleep(RESTART_DELAY_S);
+            if self.trouble {
+                world
+                    .restart(reader)
+                    .map_err(|error| format!("node: {error}"))?;
+            }
+            // It serves on for `drain_ms` and a little longer.
+            self.sleep(world.bounds.drain as f64 / 1_000.0);
+            latest.push(only.latest_ms.load(Ordering::Relaxed));
+            only.end();
+            self.sleep(0.5);
+        }
+        println!(
+            "last openings that ran after the entry of the only target went, in ms: {latest:?}"
+        );
+        Ok(())
+    }
 }
--- a/review/standin-2/packet.rs
+++ b/review/standin-2/packet.rs
@@ -80,7 +80,10 @@
 
 /// A keyed sum over everything but `echo` and the sum itself.
 fn sum(bytes: &[u8]) -> u32 {
-    let covered = bytes.iter().enumerate().filter(|(at, _)| !(9..17).contains(at));
+    let covered = bytes
+        .iter()
+        .enumerate()
+        .filter(|(at, _)| !(9..17).contains(at));
     covered.fold(0x811c_9dc5 ^ SUM_KEY, |hash: u32, (_, byte)| {
         (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193)
     }) | 1
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -25,6 +25,8 @@
 }
 
 pub struct Store {
+    /// By node: when it last called a watch, and whether that was for the newest state.
+    watches: Mutex<BTreeMap<usize, (Instant, bool)>>,
     state: Mutex<State>,
     changed: Condvar,
     stale_lag: Duration,
@@ -32,17 +34,33 @@
 
 impl Store {
     pub fn new(stale_lag: Duration) -> Arc<Self> {
-        let state = State { revision: 100, log: Vec::new() };
-        Arc::new(Self { state: Mutex::new(state), changed: Condvar::new(), stale_lag })
+        let state = State {
+            revision: 100,
+            log: Vec::new(),
+        };
+        Arc::new(Self {
+            watches: Mutex::default(),
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            stale_lag,
+        })
     }
 
     /// Makes or replaces an object, and returns when the store has acknowledged that. A replacement by the same content
     /// changes nothing.
     pub fn put(&self, kind: &str, name: &str, spec: &str) -> Instant {
         let mut state = self.state.lock().unwrap();
-        let last = state.log.iter().rev().find(|change| change.kind == kind && change.name == name).cloned();
+        let last = state
+            .log
+            .iter()
+            .rev()
+            .find(|change| change.kind == kind && change.name == name)
+            .cloned();
         let present = last.filter(|change| change.spec.is_some());
-        if present.as_ref().is_some_and(|change| change.spec.as_deref() == Some(spec)) {
+        if present
+            .as_ref()
+            .is_some_and(|change| change.spec.as_deref() == Some(spec))
+        {
             return Instant::now();
         }
         state.revision += 1;
@@ -79,22 +97,35 @@
         at
     }
 
-    /// Serves the calls that arrive at an address.
-    pub fn serve(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<()> {
+    /// Returns the nodes that watch the store for the others, those that read the newest state first.
+    pub fn watchers(&self) -> Vec<usize> {
+        let watches = self.watches.lock().unwrap();
+        let recent = watches
+            .iter()
+            .filter(|(_, (at, _))| at.elapsed() < Duration::from_millis(1_600));
+        let mut recent: Vec<(bool, usize)> = recent
+            .map(|(node, (_, is_newest))| (!is_newest, *node))
+            .collect();
+        recent.sort_unstable();
+        recent.into_iter().map(|(_, node)| node).collect()
+    }
+
+    /// Serves the calls of a node that arrive at an address.
+    pub fn serve(self: &Arc<Self>, address: SocketAddr, node: usize) -> std::io::Result<()> {
         let listener = TcpListener::bind(address)?;
         let store = Arc::clone(self);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = Arc::clone(&store);
                 std::thread::spawn(move || {
-                    let _ = store.serve_connection(stream);
+                    let _ = store.serve_connection(stream, node);
                 });
             }
         });
         Ok(())
     }
 
-    fn serve_connection(&self, stream: TcpStream) -> std::io::Result<()> {
+    fn serve_connection(&self, stream: TcpStream, node: usize) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut writer = stream;
@@ -113,6 +144,13 @@
                 }
             }
             let target = request.split(' ').nth(1).unwrap_or_default().to_owned();
+            if target.contains("watch=") {
+                let is_newest = !target.contains("stale=1");
+                self.watches
+                    .lock()
+                    .unwrap()
+                    .insert(node, (Instant::now(), is_newest));
+            }
             let is_get = request.starts_with("GET ");
             let answer = if is_get { self.answer(&target) } else { None };
             let (status, body) = match answer {
@@ -133,8 +171,15 @@
     fn answer(&self, target: &str) -> Option<String> {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let kind = path.strip_prefix("/objects/")?.to_owned();
-        let query: BTreeMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
-        let lag = if query.get("stale") == Some(&"1") { self.stale_lag } else { Duration::ZERO };
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let lag = if query.get("stale") == Some(&"1") {
+            self.stale_lag
+        } else {
+            Duration::ZERO
+        };
         let Some(from) = query.get("watch") else {
             return Some(self.list(&kind, query.get("after").copied(), lag));
         };
@@ -148,7 +193,11 @@
         let now = Instant::now();
         let mut at = 100;
         let mut objects: BTreeMap<&str, &Change> = BTreeMap::new();
-        for change in state.log.iter().filter(|change| now.duration_since(change.at) >= lag) {
+        for change in state
+            .log
+            .iter()
+            .filter(|change| now.duration_since(change.at) >= lag)
+        {
             at = change.revision;
             if change.kind != kind {
                 continue;
@@ -159,9 +208,14 @@
                 objects.remove(&change.name[..]);
             }
         }
-        let listed = objects.values().filter(|change| after.is_none_or(|after| &change.name[..] > after));
+        let listed = objects
+            .values()
+            .filter(|change| after.is_none_or(|after| &change.name[..] > after));
         let items: Vec<String> = listed.map(|change| object(change)).collect();
-        format!(r#"{{"items":[{}],"more":false,"at":{at}}}"#, items.join(","))
+        format!(
+            r#"{{"items":[{}],"more":false,"at":{at}}}"#,
+            items.join(",")
+        )
     }
 
     fn watch(&self, kind: &str, from: u64, wait: Duration, lag: Duration) -> String {
@@ -169,11 +223,25 @@
         let mut state = self.state.lock().unwrap();
         loop {
             let now = Instant::now();
-            let seen = state.log.iter().filter(|change| now.duration_since(change.at) >= lag);
-            let at = seen.clone().map(|change| change.revision).max().unwrap_or(100).max(from);
+            let seen = state
+                .log
+                .iter()
+                .filter(|change| now.duration_since(change.at) >= lag);
+            let at = seen
+                .clone()
+                .map(|change| change.revision)
+                .max()
+                .unwrap_or(100)
+                .max(from);
             let news = seen.filter(|change| change.kind == kind && change.revision > from);
             let events: Vec<String> = news
-                .map(|change| format!(r#"{{"gone":{},"object":{}}}"#, change.spec.is_none(), object(change)))
+                .map(|change| {
+                    format!(
+                        r#"{{"gone":{},"object":{}}}"#,
+                        change.spec.is_none(),
+                        object(change)
+                    )
+                })
                 .collect();
             if !events.is_empty() || now >= deadline {
                 return format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(","));
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -44,6 +44,8 @@
     pub program: PathBuf,
     pub folder: PathBuf,
     record: Mutex<BufWriter<File>>,
+    /// The machines whose addresses are the seeds in settings that are written from now on.
+    pub seeds: Mutex<Vec<usize>>,
     pub nodes: Mutex<Vec<Node>>,
     pub stopping: AtomicBool,
     pub served: AtomicU64,
@@ -59,6 +61,7 @@
             program: program.into(),
             folder: folder.into(),
             record: Mutex::new(BufWriter::new(File::create(record).ok()?)),
+            seeds: Mutex::new(vec![0, 1, 2]),
             nodes: Mutex::default(),
             stopping: AtomicBool::new(false),
             served: AtomicU64::new(0),
@@ -71,7 +74,10 @@
     }
 
     pub fn target_address(&self, number: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::new(127, self.net, 2, number as u8 + 1), TARGET_PORT)
+        SocketAddrV4::new(
+            Ipv4Addr::new(127, self.net, 2, number as u8 + 1),
+            TARGET_PORT,
+        )
     }
 
     pub fn client_ip(&self, client: usize) -> Ipv4Addr {
@@ -85,7 +91,8 @@
 
     pub fn node_at(&self, ip: Ipv4Addr) -> Option<usize> {
         let octets = ip.octets();
-        (octets[0] == 127 && octets[1] == self.net && octets[2] == 1).then(|| usize::from(octets[3]) - 1)
+        (octets[0] == 127 && octets[1] == self.net && octets[2] == 1)
+            .then(|| usize::from(octets[3]) - 1)
     }
 
     pub fn is_stopping(&self) -> bool {
@@ -115,7 +122,7 @@
     /// Starts the processes of all nodes with the command of the deploy file.
     pub fn start_nodes(self: &Arc<Self>, count: usize) -> std::io::Result<()> {
         for node in 0..count {
-            let child = self.spawn(node, count)?;
+            let child = self.spawn(node)?;
             self.nodes.lock().unwrap().push(Node {
                 child: Some(child),
                 is_in: false,
@@ -130,9 +137,9 @@
         Ok(())
     }
 
-    fn spawn(&self, node: usize, count: usize) -> std::io::Result<Child> {
+    fn spawn(&self, node: usize) -> std::io::Result<Child> {
         let settings = self.folder.join(format!("node-{node}.toml"));
-        std::fs::write(&settings, self.settings(node, count))?;
+        std::fs::write(&settings, self.settings(node))?;
         let log = File::create(self.folder.join(format!("node-{node}.log")))?;
         let child = Command::new(&self.program)
             .arg("--config")
@@ -141,17 +148,23 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        let mut pids = File::options().create(true).append(true).open(self.folder.join("pids"))?;
+        let mut pids = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("pids"))?;
         writeln!(pids, "{}", child.id())?;
         self.note(&format!("platform: started node {node}"));
         Ok(child)
     }
 
     /// The template `deploy/node.toml`, filled as for a machine of the site.
-    fn settings(&self, node: usize, count: usize) -> String {
+    fn settings(&self, node: usize) -> String {
         let ip = self.node_ip(node);
-        let seeds: Vec<String> =
-            (0..count.min(3)).map(|seed| format!("\"{}:18166\"", self.node_ip(seed))).collect();
+        let seeds = self.seeds.lock().unwrap().clone();
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|seed| format!("\"{}:18166\"", self.node_ip(*seed)))
+            .collect();
         format!(
             "[node]\nname = \"edge-{node}\"\nzone = \"{zone}\"\ndata_address = \"{ip}:{DATA_PORT}\"\n\
              peer_address = \"{ip}:{PEER_PORT}\"\nready_address = \"{ip}:{READY_PORT}\"\n\
@@ -167,6 +180,15 @@
         )
     }
 
+    /// Starts a node's process again.
+    pub fn restart(&self, node: usize) -> std::io::Result<()> {
+        let child = self.spawn(node)?;
+        let mut nodes = self.nodes.lock().unwrap();
+        nodes[node].child = Some(child);
+        nodes[node].disturbed_at = Instant::now();
+        Ok(())
+    }
+
     /// Ends a node's process with SIGKILL.
     pub fn kill(&self, node: usize) {
         let mut nodes = self.nodes.lock().unwrap();
@@ -209,7 +231,10 @@
             let is_in = state.is_in;
             drop(nodes);
             if was_in != is_in {
-                self.note(&format!("routers: node {node} is {}", if is_in { "in" } else { "out" }));
+                self.note(&format!(
+                    "routers: node {node} is {}",
+                    if is_in { "in" } else { "out" }
+                ));
             }
             std::thread::sleep(Duration::from_millis(500));
         }
@@ -252,20 +277,24 @@
     let _ = stream.set_read_timeout(Some(limit));
     let request = format!("GET /readyz HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let mut head = [0; 12];
-    stream.write_all(request.as_bytes()).is_ok() && stream.read_exact(&mut head).is_ok() && head == *b"HTTP/1.1 200"
+    stream.write_all(request.as_bytes()).is_ok()
+        && stream.read_exact(&mut head).is_ok()
+        && head == *b"HTTP/1.1 200"
 }
 
 /// Finds a loopback network in which the ports of a run are free.
 fn free_network() -> Option<u8> {
     let start = random() as u8;
-    (0..200_u8).map(|step| 20 + (start.wrapping_add(step) % 200)).find(|net| {
-        let ip = |group| Ipv4Addr::new(127, *net, group, 1);
-        UdpSocket::bind((ip(1), DATA_PORT)).is_ok()
-            && TcpListener::bind((ip(1), READY_PORT)).is_ok()
-            && TcpListener::bind((ip(1), PEER_PORT)).is_ok()
-            && TcpListener::bind((ip(4), STORE_PORT)).is_ok()
-            && UdpSocket::bind((ip(2), TARGET_PORT)).is_ok()
-    })
+    (0..200_u8)
+        .map(|step| 20 + (start.wrapping_add(step) % 200))
+        .find(|net| {
+            let ip = |group| Ipv4Addr::new(127, *net, group, 1);
+            UdpSocket::bind((ip(1), DATA_PORT)).is_ok()
+                && TcpListener::bind((ip(1), READY_PORT)).is_ok()
+                && TcpListener::bind((ip(1), PEER_PORT)).is_ok()
+                && TcpListener::bind((ip(4), STORE_PORT)).is_ok()
+                && UdpSocket::bind((ip(2), TARGET_PORT)).is_ok()
+        })
 }
 
 fn hash(flow: &FlowKey) -> u32 {
@@ -274,16 +303,23 @@
     bytes.extend_from_slice(&flow.client.1.to_le_bytes());
     bytes.extend_from_slice(&flow.service.0.octets());
     bytes.extend_from_slice(&flow.service.1.to_le_bytes());
-    let hash = bytes.iter().fold(0x811c_9dc5, |hash: u32, byte| (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193));
+    let hash = bytes.iter().fold(0x811c_9dc5, |hash: u32, byte| {
+        (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193)
+    });
     hash ^ (hash >> 15)
 }
 
 /// Returns an unpredictable number.
 pub fn random() -> u32 {
     use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish() as u32
+    std::collections::hash_map::RandomState::new()
+        .build_hasher()
+        .finish() as u32
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
