--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -34,8 +34,8 @@
 /// Targets of the service; one of them is struck.
 const TARGETS: usize = 8;
 
-const TILL: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
-const LISTINGS: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 2);
+const TILL: Ipv4Addr = Ipv4Addr::new(127, 198, 18, 1);
+const LISTINGS: Ipv4Addr = Ipv4Addr::new(127, 198, 18, 2);
 
 /// Last octet of the address of the target whose flows are watched for resets; zero for none.
 static WATCHED: AtomicU16 = AtomicU16::new(0);
@@ -64,6 +64,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let (bounds, stale_lag) = match &scenario[..] {
+        "half-killed" => (STALLNET, Duration::from_millis(4_000)),
         "last-target" => (STALLNET, Duration::from_millis(3_000)),
         _ => (STALLNET_FLEET, Duration::from_millis(500)),
     };
@@ -85,6 +86,7 @@
     let run = match &scenario[..] {
         "born" => case.born(),
         "last-target" => case.last_target(),
+        "half-killed" => case.half_killed(),
         "other-writer" => case.other_writer(),
         other => Err(format!("unknown scenario {other}")),
     };
@@ -421,4 +423,83 @@
         );
         Ok(())
     }
+
+    /// Again and again, a target drains just as half of the nodes are killed: the one that reads the store for the others,
+    /// and two that don't watch it. The platform starts them again one after the other.
+    fn half_killed(&self) -> Run {
+        const NODES: usize = 6;
+        /// When the killed nodes are started again, in seconds after the kill.
+        const RESTARTS_S: [f64; 3] = [0.6, 1.2, 1.9];
+        let world = &self.world;
+        let mut targets = self.start_others()?;
+        self.start(NODES)?;
+        self.clients(
+            0,
+            16,
+            Habit {
+                service: TILL,
+                requests: 1,
+                pause: Duration::from_millis(20),
+            },
+        )?;
+        let until = Instant::now() + Duration::from_secs(50);
+        let mut number = TARGETS;
+        let mut latest = Vec::new();
+        while Instant::now() < until {
+            self.sleep(self.contact() + 2.0 + f64::from(random() % 800) / 1_000.0);
+            let watchers = self.store.watchers();
+            let reader = watchers.first().ok_or("no node watches the store")?;
+            let others = (0..NODES).filter(|node| !watchers.contains(node));
+            let mut victims: Vec<usize> = others.take(RESTARTS_S.len() - 1).collect();
+            victims.push(*reader);
+            if !self.trouble {
+                victims.clear();
+            }
+            for victim in &victims {
+                world.kill(*victim);
+            }
+            let target = targets.remove(0);
+            let entry = Entry {
+                service: "stall-till",
+                zone: 0,
+                state: "draining",
+                born: None,
+            };
+            let at = self.enter(&target, &entry);
+            *target.drained_at.lock().unwrap() = Some(at);
+            world.note(&format!(
+                "target {}: the store took that it is draining",
+                target.name
+            ));
+            for (victim, restart_s) in victims.iter().zip(RESTARTS_S) {
+                let restart = Duration::from_secs_f64(restart_s);
+                std::thread::sleep(restart.saturating_sub(at.elapsed()));
+                world
+                    .restart(*victim)
+                    .map_err(|error| format!("node: {error}"))?;
+            }
+            // It serves on for `drain_ms` and a little longer.
+            let end = Duration::from_millis(world.bounds.drain) + Duration::from_secs(2);
+            std::thread::sleep(end.saturating_sub(at.elapsed()));
+            latest.push(target.latest_ms.load(Ordering::Relaxed));
+            self.store
+                .delete("servers", &format!("i-{:08x}", target.id));
+            target.end();
+            let fresh = self.target(number, &format!("till-{number}"), random() | 1, 1)?;
+            number += 1;
+            self.enter(
+                &fresh,
+                &Entry {
+                    service: "stall-till",
+                    zone: 0,
+                    state: "ready",
+                    born: None,
+                },
+            );
+            targets.push(fresh);
+            self.sleep(0.5);
+        }
+        println!("last openings that ran after the target drained, in ms: {latest:?}");
+        Ok(())
+    }
 }
